--- /dev/null
+++ b/admit/admit.go
@@ -0,0 +1,396 @@
+// Package admit decides which attempts the upstream beside a node works on.
+//
+// It is the only place that starts work. It bounds what runs and what waits,
+// remembers every attempt that it has seen, and so can say for certain that an
+// attempt was not run.
+package admit
+
+import (
+	"time"
+
+	"github.com/benbjohnson/immutable"
+	cyclam "github.com/cyclamensaddle/cyclam"
+)
+
+// Tuning holds the limits of admission.
+type Tuning struct {
+	// Slots is how many attempts the upstream works on at once.
+	Slots int
+	// Queue is how many attempts may wait for a slot.
+	Queue int
+	// QueueWait is how long an attempt waits before it is refused.
+	QueueWait time.Duration
+	// ColdStart is how long the slots take to open up after the upstream comes up.
+	ColdStart time.Duration
+	// Memory is how long an attempt is remembered at least.
+	Memory time.Duration
+	// KeyMemory is how long an idempotency key is remembered at least.
+	KeyMemory time.Duration
+}
+
+// coldShare is the share of the slots that a cold upstream opens with.
+const coldShare = 0.25
+
+// retryFloor is the shortest time after which a refused caller may come back.
+const retryFloor = 100 * time.Millisecond
+
+type phase uint8
+
+const (
+	phaseQueued phase = iota + 1
+	phaseRunning
+	phaseEnded
+	phaseRefused
+)
+
+type record struct {
+	phase phase
+	key   string
+}
+
+type keyRecord struct {
+	running bool
+	verdict cyclam.Verdict
+}
+
+type waiting struct {
+	attempt  cyclam.AttemptID
+	deadline time.Time
+	until    time.Time
+}
+
+// State is what a node knows of the work for its upstream.
+type State struct {
+	Tuning Tuning
+	Self   cyclam.Identity
+
+	running  int
+	queue    []waiting
+	draining bool
+	down     bool
+	upSince  time.Time
+	mean     time.Duration
+
+	attempts generations[cyclam.AttemptID, record]
+	keys     generations[string, keyRecord]
+	// marks holds, for each sender, the highest attempt number forgotten.
+	marks *immutable.Map[cyclam.Identity, uint64]
+}
+
+// New returns a state in which nothing runs.
+func New(self cyclam.Identity, tuning Tuning, now time.Time) State {
+	return State{
+		Tuning:   tuning,
+		Self:     self,
+		upSince:  now,
+		attempts: newGenerations[cyclam.AttemptID, record](attemptHash{}, now),
+		keys:     newGenerations[string, keyRecord](nil, now),
+		marks:    immutable.NewMap[cyclam.Identity, uint64](identityHash{}),
+	}
+}
+
+// Busy reports whether any attempt runs or waits.
+func (s State) Busy() bool { return s.running > 0 || len(s.queue) > 0 }
+
+// Running returns how many attempts the upstream works on.
+func (s State) Running() int { return s.running }
+
+// Waiting returns how many attempts wait for a slot.
+func (s State) Waiting() int { return len(s.queue) }
+
+// Drained returns a state that refuses new work.
+func (s State) Drained() State {
+	s.draining = true
+	return s
+}
+
+// WithHealth returns a state for an upstream that is up or down.
+func (s State) WithHealth(now time.Time, up bool) State {
+	if up && s.down {
+		s.upSince = now
+	}
+	s.down = !up
+	return s
+}
+
+// limit returns how many attempts may run now.
+func (s State) limit(now time.Time) int {
+	age := now.Sub(s.upSince)
+	if s.Tuning.ColdStart <= 0 || age >= s.Tuning.ColdStart {
+		return s.Tuning.Slots
+	}
+	share := coldShare + (1-coldShare)*float64(age)/float64(s.Tuning.ColdStart)
+	return max(1, int(share*float64(s.Tuning.Slots)))
+}
+
+// Arrived decides on an attempt; allowed says whether the configuration lets
+// the service be served here.
+func (s State) Arrived(e cyclam.WorkArrived, allowed bool) (State, []cyclam.Effect) {
+	if verdict, seen := s.seen(e.Attempt); seen {
+		return s, finish(e.Attempt, verdict)
+	}
+	if verdict, refused := s.refusal(e, allowed); refused {
+		s = s.remember(e.Attempt, record{
+			phase: phaseRefused,
+		})
+		return s, finish(e.Attempt, verdict)
+	}
+	if verdict, repeated := s.repeat(e.Key); repeated {
+		s = s.remember(e.Attempt, record{
+			phase: phaseRefused,
+		})
+		return s, finish(e.Attempt, verdict)
+	}
+	if e.Key != "" {
+		s.keys = s.keys.with(e.Key, keyRecord{
+			running: true,
+		})
+	}
+	if s.running < s.limit(e.Now) {
+		return s.start(e.Attempt, e.Key, e.Deadline)
+	}
+	s = s.remember(e.Attempt, record{
+		phase: phaseQueued,
+		key:   e.Key,
+	})
+	s.queue = append(s.queue[:len(s.queue):len(s.queue)], waiting{
+		attempt:  e.Attempt,
+		deadline: e.Deadline,
+		until:    e.Now.Add(s.Tuning.QueueWait),
+	})
+	return s, nil
+}
+
+// seen answers an attempt that arrived before, or may have.
+func (s State) seen(attempt cyclam.AttemptID) (cyclam.Verdict, bool) {
+	if r, ok := s.attempts.get(attempt); ok {
+		if r.phase == phaseRefused {
+			return notRun(cyclam.ReasonCancelled, 0), true
+		}
+		return cyclam.Verdict{
+			Outcome: cyclam.Unknown,
+			Reason:  cyclam.ReasonDuplicate,
+		}, true
+	}
+	if mark, ok := s.marks.Get(attempt.Sender); ok && attempt.Number <= mark {
+		return cyclam.Verdict{
+			Outcome: cyclam.Unknown,
+			Reason:  cyclam.ReasonStale,
+		}, true
+	}
+	return cyclam.Verdict{}, false
+}
+
+// refusal says why an attempt must not start.
+func (s State) refusal(e cyclam.WorkArrived, allowed bool) (cyclam.Verdict, bool) {
+	switch {
+	case e.Target != s.Self:
+		return notRun(cyclam.ReasonWrongTarget, 0), true
+	case !e.Deadline.After(e.Now):
+		return notRun(cyclam.ReasonExpired, 0), true
+	case s.draining:
+		return notRun(cyclam.ReasonDraining, retryFloor), true
+	case !allowed:
+		return notRun(cyclam.ReasonPlacement, 0), true
+	case s.down:
+		return notRun(cyclam.ReasonUpstreamDown, time.Second), true
+	case s.running >= s.limit(e.Now) && len(s.queue) >= s.Tuning.Queue:
+		return notRun(cyclam.ReasonShed, s.backoff()), true
+	default:
+		return cyclam.Verdict{}, false
+	}
+}
+
+// repeat answers an idempotency key that was seen before.
+func (s State) repeat(key string) (cyclam.Verdict, bool) {
+	if key == "" {
+		return cyclam.Verdict{}, false
+	}
+	r, ok := s.keys.get(key)
+	if !ok {
+		return cyclam.Verdict{}, false
+	}
+	if r.running {
+		return cyclam.Verdict{
+			Outcome:    cyclam.Unknown,
+			Reason:     cyclam.ReasonDuplicate,
+			RetryAfter: s.backoff(),
+		}, true
+	}
+	return r.verdict, true
+}
+
+// backoff estimates when a slot will be free.
+func (s State) backoff() time.Duration {
+	wait := s.mean * time.Duration(len(s.queue)+1) / time.Duration(max(1, s.Tuning.Slots))
+	return max(retryFloor, wait)
+}
+
+func (s State) start(attempt cyclam.AttemptID, key string, deadline time.Time) (State, []cyclam.Effect) {
+	s.running++
+	s = s.remember(attempt, record{
+		phase: phaseRunning,
+		key:   key,
+	})
+	return s, []cyclam.Effect{cyclam.StartWork{
+		Attempt:  attempt,
+		Deadline: deadline,
+	}}
+}
+
+// Ended frees the slot of an attempt and starts the next one.
+func (s State) Ended(e cyclam.WorkEnded) (State, []cyclam.Effect) {
+	r, ok := s.attempts.get(e.Attempt)
+	if !ok || r.phase != phaseRunning {
+		return s, nil
+	}
+	s.running--
+	ended := record{
+		phase: phaseEnded,
+		key:   r.key,
+	}
+	if e.Verdict.Outcome == cyclam.NotRun {
+		ended.phase = phaseRefused
+	}
+	s = s.remember(e.Attempt, ended)
+	s = s.settle(r.key, e.Verdict)
+	s, effects := s.advance(e.Now)
+	return s, append(finish(e.Attempt, e.Verdict), effects...)
+}
+
+// settle records how the work for a key ended; work that was not run leaves no
+// trace, so that the caller may come back with the same key.
+func (s State) settle(key string, verdict cyclam.Verdict) State {
+	switch {
+	case key == "":
+	case verdict.Outcome == cyclam.NotRun:
+		s.keys = s.keys.without(key)
+	case len(verdict.Answer.Body) > keyBodyLimit:
+		verdict = cyclam.Verdict{
+			Outcome: cyclam.Unknown,
+			Reason:  cyclam.ReasonNotRemembered,
+		}
+		s.keys = s.keys.with(key, keyRecord{
+			verdict: verdict,
+		})
+	default:
+		s.keys = s.keys.with(key, keyRecord{
+			verdict: verdict,
+		})
+	}
+	return s
+}
+
+// keyBodyLimit is the largest answer in bytes that is kept for a repeat.
+const keyBodyLimit = 16 << 10
+
+// advance fills free slots from the queue.
+func (s State) advance(now time.Time) (State, []cyclam.Effect) {
+	var effects []cyclam.Effect
+	for len(s.queue) > 0 {
+		next := s.queue[0]
+		expired := !next.deadline.After(now)
+		if !expired && s.running >= s.limit(now) {
+			break
+		}
+		s.queue = s.queue[1:]
+		var more []cyclam.Effect
+		if expired {
+			s, more = s.refuse(next.attempt, notRun(cyclam.ReasonExpired, 0))
+		} else {
+			r, _ := s.attempts.get(next.attempt)
+			s, more = s.start(next.attempt, r.key, next.deadline)
+		}
+		effects = append(effects, more...)
+	}
+	return s, effects
+}
+
+// refuse ends an attempt that waited.
+func (s State) refuse(attempt cyclam.AttemptID, verdict cyclam.Verdict) (State, []cyclam.Effect) {
+	r, _ := s.attempts.get(attempt)
+	s = s.settle(r.key, verdict)
+	s = s.remember(attempt, record{
+		phase: phaseRefused,
+	})
+	return s, finish(attempt, verdict)
+}
+
+// Cancelled answers a cancel: it confirms only what can no longer start here.
+func (s State) Cancelled(e cyclam.CancelArrived) (State, []cyclam.Effect) {
+	answer := cyclam.AnswerCancel{
+		Attempt: e.Attempt,
+	}
+	if e.Target != s.Self {
+		return s, []cyclam.Effect{answer}
+	}
+	r, known := s.attempts.get(e.Attempt)
+	if !known {
+		if mark, ok := s.marks.Get(e.Attempt.Sender); ok && e.Attempt.Number <= mark {
+			return s, []cyclam.Effect{answer}
+		}
+		s = s.remember(e.Attempt, record{
+			phase: phaseRefused,
+		})
+		answer.Confirmed = true
+		return s, []cyclam.Effect{answer}
+	}
+	var effects []cyclam.Effect
+	switch r.phase {
+	case phaseQueued:
+		s = s.dequeue(e.Attempt)
+		s, effects = s.refuse(e.Attempt, notRun(cyclam.ReasonCancelled, 0))
+		answer.Confirmed = true
+	case phaseRefused:
+		answer.Confirmed = true
+	case phaseRunning:
+		effects = []cyclam.Effect{cyclam.AbortWork{
+			Attempt: e.Attempt,
+		}}
+	}
+	return s, append(effects, answer)
+}
+
+func (s State) dequeue(attempt cyclam.AttemptID) State {
+	left := make([]waiting, 0, len(s.queue))
+	for _, w := range s.queue {
+		if w.attempt != attempt {
+			left = append(left, w)
+		}
+	}
+	s.queue = left
+	return s
+}
+
+// Tick refuses what has waited too long, opens slots, and forgets old attempts.
+func (s State) Tick(now time.Time) (State, []cyclam.Effect) {
+	s, effects := s.advance(now)
+	for len(s.queue) > 0 && !s.queue[0].until.After(now) {
+		first := s.queue[0]
+		s.queue = s.queue[1:]
+		var more []cyclam.Effect
+		s, more = s.refuse(first.attempt, notRun(cyclam.ReasonShed, s.backoff()))
+		effects = append(effects, more...)
+	}
+	return s.forget(now), effects
+}
+
+func (s State) remember(attempt cyclam.AttemptID, r record) State {
+	s.attempts = s.attempts.with(attempt, r)
+	return s
+}
+
+func finish(attempt cyclam.AttemptID, verdict cyclam.Verdict) []cyclam.Effect {
+	return []cyclam.Effect{cyclam.FinishWork{
+		Attempt: attempt,
+		Verdict: verdict,
+	}}
+}
+
+func notRun(reason cyclam.Reason, retryAfter time.Duration) cyclam.Verdict {
+	return cyclam.Verdict{
+		Outcome:    cyclam.NotRun,
+		Reason:     reason,
+		RetryAfter: retryAfter,
+	}
+}
--- /dev/null
+++ b/attempt.go
@@ -0,0 +1,48 @@
+package cyclam
+
+import (
+	"strconv"
+	"strings"
+)
+
+// CallID numbers the calls that entered at one process.
+type CallID uint64
+
+// AttemptID names one sending of a call to one upstream, across the fleet.
+type AttemptID struct {
+	// Sender is the process that sent it.
+	Sender Identity
+	// Number grows with each attempt that the sender addresses to a target.
+	Number uint64
+}
+
+// String returns instance/incarnation/number.
+func (a AttemptID) String() string {
+	return string(a.Sender.Instance) + "/" +
+		strconv.FormatUint(uint64(a.Sender.Incarnation), 10) + "/" +
+		strconv.FormatUint(a.Number, 10)
+}
+
+// ParseAttemptID reads what String wrote.
+func ParseAttemptID(s string) (AttemptID, bool) {
+	parts := strings.Split(s, "/")
+	if len(parts) != 3 || parts[0] == "" {
+		return AttemptID{}, false
+	}
+	incarnation, err := strconv.ParseUint(parts[1], 10, 64)
+	if err != nil {
+		return AttemptID{}, false
+	}
+	number, err := strconv.ParseUint(parts[2], 10, 64)
+	if err != nil {
+		return AttemptID{}, false
+	}
+	sender := Identity{
+		Instance:    InstanceName(parts[0]),
+		Incarnation: Incarnation(incarnation),
+	}
+	return AttemptID{
+		Sender: sender,
+		Number: number,
+	}, true
+}
--- /dev/null
+++ b/cmd/stand-upstream/main.go
@@ -0,0 +1,26 @@
+// Command stand-upstream runs the stand-in for an upstream.
+package main
+
+import (
+	"flag"
+	"log"
+	"time"
+
+	"github.com/cyclamensaddle/cyclam/stand/worker"
+)
+
+func main() {
+	listen := flag.String("listen", "127.0.0.1:9000", "host:port to serve")
+	name := flag.String("name", "upstream", "name in answers")
+	slots := flag.Int("slots", 12, "calls worked on at once")
+	connections := flag.Int("connections", 120, "connections at once")
+	delay := flag.Duration("delay", time.Millisecond, "service time")
+	flag.Parse()
+	w := &worker.Worker{
+		Name:        *name,
+		Slots:       *slots,
+		Connections: *connections,
+		Delay:       *delay,
+	}
+	log.Fatal(w.Serve(*listen))
+}
--- /dev/null
+++ b/codec/codec.go
@@ -0,0 +1,89 @@
+// Package codec turns messages into their wire form and back.
+//
+// Decoding checks everything that the decisions rely on, so that bytes from a
+// broken peer end in an error and never in the state.
+package codec
+
+import (
+	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/wire"
+	"github.com/klauspost/compress/zstd"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+)
+
+// packFrom is the size in bytes from which compression is tried.
+const packFrom = 256
+
+// unpackLimit bounds the size in bytes of what one envelope may unfold to.
+const unpackLimit = 64 << 20
+
+var (
+	encoder = must(zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1)))
+	decoder = must(zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(unpackLimit)))
+)
+
+func must[T any](value T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return value
+}
+
+// Pack returns the envelope for a batch of messages.
+func Pack(messages []cyclam.Message) (*wire.Envelope, error) {
+	batch := &wire.Batch{}
+	for _, message := range messages {
+		out, err := encode(message)
+		if err != nil {
+			return nil, err
+		}
+		batch.Messages = append(batch.Messages, out)
+	}
+	if size := proto.Size(batch); size >= packFrom {
+		plain, err := proto.Marshal(batch)
+		if err != nil {
+			return nil, errors.Wrap(err, "marshal batch")
+		}
+		packed := encoder.EncodeAll(plain, make([]byte, 0, size/2))
+		if len(packed) < size {
+			return &wire.Envelope{
+				Content: &wire.Envelope_Packed{
+					Packed: packed,
+				},
+			}, nil
+		}
+	}
+	return &wire.Envelope{
+		Content: &wire.Envelope_Batch{
+			Batch: batch,
+		},
+	}, nil
+}
+
+// Unpack returns the messages of an envelope.
+func Unpack(envelope *wire.Envelope) ([]cyclam.Message, error) {
+	batch := envelope.GetBatch()
+	if packed := envelope.GetPacked(); packed != nil {
+		plain, err := decoder.DecodeAll(packed, nil)
+		if err != nil {
+			return nil, errors.Wrap(err, "decompress batch")
+		}
+		batch = &wire.Batch{}
+		if err := proto.Unmarshal(plain, batch); err != nil {
+			return nil, errors.Wrap(err, "unmarshal batch")
+		}
+	}
+	if batch == nil {
+		return nil, errors.New("envelope holds nothing")
+	}
+	messages := make([]cyclam.Message, 0, len(batch.Messages))
+	for _, in := range batch.Messages {
+		message, err := decode(in)
+		if err != nil {
+			return nil, err
+		}
+		messages = append(messages, message)
+	}
+	return messages, nil
+}
--- /dev/null
+++ b/codec/encode.go
@@ -0,0 +1,187 @@
+package codec
+
+import (
+	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/conf"
+	"github.com/cyclamensaddle/cyclam/wire"
+	"github.com/pkg/errors"
+)
+
+func encode(message cyclam.Message) (*wire.Message, error) {
+	switch m := message.(type) {
+	case cyclam.Hello:
+		hello := &wire.Hello{
+			Self:    encodeEndpoint(m.Self),
+			Role:    string(m.Role),
+			Version: uint64(m.Version),
+			Sums:    m.Sums,
+		}
+		return &wire.Message{
+			Kind: &wire.Message_Hello{
+				Hello: hello,
+			},
+		}, nil
+	case cyclam.Welcome:
+		welcome := &wire.Welcome{
+			Self:    encodeEndpoint(m.Self),
+			Path:    texts(m.Path),
+			Version: uint64(m.Version),
+			Sums:    m.Sums,
+		}
+		return &wire.Message{
+			Kind: &wire.Message_Welcome{
+				Welcome: welcome,
+			},
+		}, nil
+	case cyclam.Redirect:
+		return &wire.Message{
+			Kind: &wire.Message_Redirect{
+				Redirect: &wire.Redirect{
+					Try: m.Try,
+				},
+			},
+		}, nil
+	case cyclam.Beat:
+		beat := &wire.Beat{
+			Path:    texts(m.Path),
+			Version: uint64(m.Version),
+			Total:   m.Total,
+		}
+		return &wire.Message{
+			Kind: &wire.Message_Beat{
+				Beat: beat,
+			},
+		}, nil
+	case cyclam.Sums:
+		return &wire.Message{
+			Kind: &wire.Message_Sums{
+				Sums: &wire.Sums{
+					Sums: m.Sums,
+				},
+			},
+		}, nil
+	case cyclam.News:
+		return &wire.Message{
+			Kind: &wire.Message_News{
+				News: &wire.News{
+					Endpoints: each(m.Endpoints, encodeEndpoint),
+				},
+			},
+		}, nil
+	case cyclam.Deltas:
+		return &wire.Message{
+			Kind: &wire.Message_Deltas{
+				Deltas: &wire.Deltas{
+					Deltas: each(m.Deltas, encodeDelta),
+				},
+			},
+		}, nil
+	case cyclam.Full:
+		full := &wire.Full{
+			Version:   uint64(m.Snapshot.Version),
+			Resources: each(m.Snapshot.Resources, encodeResource),
+			Result:    m.Snapshot.Result[:],
+		}
+		return &wire.Message{
+			Kind: &wire.Message_Full{
+				Full: full,
+			},
+		}, nil
+	case cyclam.Pull:
+		return &wire.Message{
+			Kind: &wire.Message_Pull{
+				Pull: &wire.Pull{
+					Version: uint64(m.Version),
+					Whole:   m.Whole,
+				},
+			},
+		}, nil
+	case cyclam.Report:
+		return &wire.Message{
+			Kind: &wire.Message_Report{
+				Report: encodeReport(m),
+			},
+		}, nil
+	default:
+		return nil, errors.Errorf("encode: no wire form for %T", message)
+	}
+}
+
+func each[A, B any](in []A, convert func(A) B) []B {
+	out := make([]B, len(in))
+	for i, a := range in {
+		out[i] = convert(a)
+	}
+	return out
+}
+
+func texts[T ~string](in []T) []string {
+	return each(in, func(t T) string { return string(t) })
+}
+
+func encodeEndpoint(e cyclam.Endpoint) *wire.Endpoint {
+	return &wire.Endpoint{
+		Instance:    string(e.Instance),
+		Incarnation: uint64(e.Incarnation),
+		Sequence:    e.Sequence,
+		State:       uint32(e.State),
+		Service:     string(e.Service),
+		Region:      string(e.Place.Region),
+		DataCentre:  string(e.Place.DataCentre),
+		Data:        e.Data,
+		Control:     e.Control,
+		Slots:       e.Slots,
+		Parent:      string(e.Parent),
+	}
+}
+
+func encodeResource(resource cyclam.Resource) *wire.Resource {
+	object := conf.Encode(resource)
+	return &wire.Resource{
+		Kind: string(object.Kind),
+		Name: object.Name,
+		Spec: object.Spec,
+	}
+}
+
+func encodeKey(key cyclam.Key) *wire.Resource {
+	return &wire.Resource{
+		Kind: string(key.Kind),
+		Name: key.Name,
+	}
+}
+
+func encodeDelta(d cyclam.Delta) *wire.Delta {
+	return &wire.Delta{
+		From:    uint64(d.From),
+		To:      uint64(d.To),
+		Upserts: each(d.Upserts, encodeResource),
+		Deletes: each(d.Deletes, encodeKey),
+		Result:  d.Result[:],
+	}
+}
+
+func encodeReport(r cyclam.Report) *wire.Report {
+	return &wire.Report{
+		Centres: each(r.Centres, func(c cyclam.CentreReport) *wire.CentreReport {
+			return &wire.CentreReport{
+				DataCentre: string(c.DataCentre),
+				Versions: each(c.Versions, func(v cyclam.VersionCount) *wire.VersionCount {
+					return &wire.VersionCount{
+						Version: uint64(v.Version),
+						Nodes:   uint64(v.Nodes),
+					}
+				}),
+			}
+		}),
+	}
+}
+
+// EncodeAttempt returns the wire form of an attempt's identity.
+func EncodeAttempt(a cyclam.AttemptID) *wire.Attempt {
+	return &wire.Attempt{
+		Instance:    string(a.Sender.Instance),
+		Incarnation: uint64(a.Sender.Incarnation),
+		Number:      a.Number,
+	}
+}
--- /dev/null
+++ b/conf/state.go
@@ -0,0 +1,115 @@
+package conf
+
+import (
+	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/pkg/errors"
+)
+
+// HistoryLimit is how many deltas a node keeps for peers that lag.
+const HistoryLimit = 256
+
+// The reasons for which a delta or a snapshot is not applied.
+var (
+	ErrOlder    = errors.New("version is not newer than the one held")
+	ErrGap      = errors.New("delta does not start at the version held")
+	ErrMismatch = errors.New("result differs from the announced digest")
+	ErrInvalid  = errors.New("set is not consistent")
+)
+
+// State is the configuration that a node holds, with its recent history.
+type State struct {
+	Version cyclam.Version
+	Set     Set
+	history []cyclam.Delta
+}
+
+// NewState returns a state that holds nothing yet, at version zero.
+func NewState() State {
+	return State{
+		Set: NewSet(),
+	}
+}
+
+// WithDelta applies a delta whole, or returns the state as it was.
+func (s State) WithDelta(d cyclam.Delta) (State, error) {
+	if d.To <= s.Version {
+		return s, ErrOlder
+	}
+	if d.From != s.Version {
+		return s, ErrGap
+	}
+	set := s.Set
+	for _, key := range d.Deletes {
+		set = set.Without(key)
+	}
+	for _, resource := range d.Upserts {
+		set = set.With(resource)
+	}
+	if err := verify(set, d.Result); err != nil {
+		return s, err
+	}
+	s.history = appendHistory(s.history, d)
+	s.Set = set
+	s.Version = d.To
+	return s, nil
+}
+
+// WithSnapshot replaces everything held, or returns the state as it was.
+func (s State) WithSnapshot(snap cyclam.Snapshot) (State, error) {
+	if snap.Version <= s.Version {
+		return s, ErrOlder
+	}
+	set := NewSet()
+	for _, resource := range snap.Resources {
+		set = set.With(resource)
+	}
+	if err := verify(set, snap.Result); err != nil {
+		return s, err
+	}
+	return State{
+		Version: snap.Version,
+		Set:     set,
+	}, nil
+}
+
+// Snapshot returns everything held.
+func (s State) Snapshot() cyclam.Snapshot {
+	return cyclam.Snapshot{
+		Version:   s.Version,
+		Resources: s.Set.Resources(),
+		Result:    s.Set.Digest(),
+	}
+}
+
+// Since returns the deltas that lead from a version to the one held; false
+// means that the history does not reach back that far.
+func (s State) Since(from cyclam.Version) ([]cyclam.Delta, bool) {
+	if from == s.Version {
+		return nil, true
+	}
+	for i, d := range s.history {
+		if d.From == from {
+			return s.history[i:], true
+		}
+	}
+	return nil, false
+}
+
+func verify(set Set, want cyclam.Digest) error {
+	if set.Digest() != want {
+		return ErrMismatch
+	}
+	if problems := set.Check(); len(problems) > 0 {
+		return errors.Wrap(ErrInvalid, problems[0].String())
+	}
+	return nil
+}
+
+func appendHistory(history []cyclam.Delta, d cyclam.Delta) []cyclam.Delta {
+	if len(history) >= HistoryLimit {
+		kept := make([]cyclam.Delta, 0, HistoryLimit)
+		kept = append(kept, history[len(history)-HistoryLimit/2:]...)
+		return append(kept, d)
+	}
+	return append(history[:len(history):len(history)], d)
+}
--- /dev/null
+++ b/endpoint.go
@@ -0,0 +1,70 @@
+package cyclam
+
+// EndpointState says what an upstream takes.
+type EndpointState uint8
+
+// The states of an endpoint, in the order in which they override each other at
+// the same incarnation and sequence.
+const (
+	EndpointReady EndpointState = iota + 1
+	EndpointDown
+	EndpointLeaving
+	EndpointGone
+)
+
+// String returns the state's name in logs and on the wire.
+func (s EndpointState) String() string {
+	switch s {
+	case EndpointReady:
+		return "ready"
+	case EndpointDown:
+		return "down"
+	case EndpointLeaving:
+		return "leaving"
+	case EndpointGone:
+		return "gone"
+	default:
+		return "invalid"
+	}
+}
+
+// Endpoint is what an instance announces of its upstream.
+type Endpoint struct {
+	Identity
+	// Sequence orders the announcements of one incarnation.
+	Sequence uint64
+	State    EndpointState
+	Service  ServiceName
+	Place    Place
+	// Data is the host:port at which the node takes calls from other nodes.
+	Data string
+	// Control is the host:port of the node's gRPC server.
+	Control string
+	// Slots is how many calls the upstream works on at once.
+	Slots uint32
+	// Parent is the instance from which this one receives configuration.
+	Parent InstanceName
+}
+
+// Newer reports whether e replaces o, by incarnation, sequence, then state.
+func (e Endpoint) Newer(o Endpoint) bool {
+	if e.Incarnation != o.Incarnation {
+		return e.Incarnation > o.Incarnation
+	}
+	if e.Sequence != o.Sequence {
+		return e.Sequence > o.Sequence
+	}
+	return e.State > o.State
+}
+
+// WithState returns a copy of e in state s.
+func (e Endpoint) WithState(s EndpointState) Endpoint {
+	e.State = s
+	return e
+}
+
+// Bumped returns a copy of e that overrides every announcement up to e.
+func (e Endpoint) Bumped() Endpoint {
+	e.Sequence++
+	return e
+}
--- /dev/null
+++ b/error.go
@@ -0,0 +1,39 @@
+package cyclam
+
+import "github.com/pkg/errors"
+
+// The errors that a Platform returns, possibly wrapped.
+var (
+	ErrConflict    = errors.New("object was changed by another writer")
+	ErrNotFound    = errors.New("object not found")
+	ErrUnavailable = errors.New("platform unavailable")
+	ErrCompacted   = errors.New("watch start is no longer held")
+	ErrInvalid     = errors.New("request refused as invalid")
+)
+
+// StepError is an error with the step and the peer at which it arose.
+type StepError struct {
+	Step string
+	Peer string
+	Err  error
+}
+
+// Error returns step, peer and cause on one line.
+func (e *StepError) Error() string {
+	return e.Step + " at " + e.Peer + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *StepError) Unwrap() error { return e.Err }
+
+// AtStep wraps err with a step and a peer; it returns nil for a nil err.
+func AtStep(step, peer string, err error) error {
+	if err == nil {
+		return nil
+	}
+	return &StepError{
+		Step: step,
+		Peer: peer,
+		Err:  err,
+	}
+}
--- /dev/null
+++ b/mesh/mesh.go
@@ -0,0 +1,186 @@
+// Package mesh joins the decisions of a node into one reducer over all events.
+package mesh
+
+import (
+	"time"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/accept"
+	"github.com/cyclamensaddle/cyclam/admit"
+	"github.com/cyclamensaddle/cyclam/conf"
+	"github.com/cyclamensaddle/cyclam/egress"
+	"github.com/cyclamensaddle/cyclam/tree"
+)
+
+var _ cyclam.Reducer[State] = Reduce
+
+// Tuning holds the knobs of all parts.
+type Tuning struct {
+	Tree   tree.Tuning
+	Admit  admit.Tuning
+	Egress egress.Tuning
+	// LeaveWait is how long a stopping node keeps refusing new work, so that
+	// callers that missed the announcement are told.
+	LeaveWait time.Duration
+}
+
+// State is everything that a node decides upon.
+type State struct {
+	Tuning Tuning
+	Tree   tree.State
+	Accept accept.State
+	Admit  admit.State
+	Egress egress.State
+
+	health   health
+	leaving  bool
+	leaveAt  time.Time
+	finished bool
+}
+
+// health follows the probes of the own upstream.
+type health struct {
+	failures int
+}
+
+// failuresToDown is how many probes in a row must fail before the upstream is
+// announced as down; one answer brings it back.
+const failuresToDown = 2
+
+// New returns the state of a node that has just started.
+func New(self cyclam.Endpoint, tuning Tuning, now time.Time) State {
+	return State{
+		Tuning: tuning,
+		Tree:   tree.New(self, tuning.Tree, now),
+		Accept: accept.New(self.Identity),
+		Admit:  admit.New(self.Identity, tuning.Admit, now),
+		Egress: egress.New(self.Identity, self.Place, tuning.Egress),
+	}
+}
+
+// Conf returns the configuration in force.
+func (s State) Conf() conf.State { return s.Tree.Conf }
+
+func (s State) view() egress.View {
+	return egress.View{
+		Conf:   s.Tree.Conf,
+		Roster: s.Tree.Roster,
+	}
+}
+
+// Reduce folds one event into the state.
+func Reduce(s State, event cyclam.Event) (State, []cyclam.Effect) {
+	var effects []cyclam.Effect
+	switch e := event.(type) {
+	case cyclam.CallArrived:
+		if s.leaving && !e.Now.Before(s.leaveAt) {
+			return s, []cyclam.Effect{refusal(e.Call)}
+		}
+		s.Egress, effects = s.Egress.Arrived(s.view(), e)
+	case cyclam.AttemptEnded:
+		s.Egress, effects = s.Egress.Ended(s.view(), e)
+	case cyclam.CancelAnswered:
+		s.Egress, effects = s.Egress.Confirmed(s.view(), e)
+	case cyclam.WorkArrived:
+		s.Admit, effects = s.Admit.Arrived(e, s.mayServe(e))
+	case cyclam.WorkEnded:
+		s.Admit, effects = s.Admit.Ended(e)
+	case cyclam.CancelArrived:
+		s.Admit, effects = s.Admit.Cancelled(e)
+	case cyclam.UpstreamProbed:
+		s = s.probed(e)
+	case cyclam.StopAsked:
+		return s.stop(e.Now)
+	default:
+		return s.control(event)
+	}
+	return s, effects
+}
+
+// Leaving reports whether a planned stop has begun.
+func (s State) Leaving() bool { return s.leaving }
+
+// refusal answers a call that came too late to a stopping node.
+func refusal(call cyclam.CallID) cyclam.Effect {
+	return cyclam.FinishCall{
+		Call: call,
+		Verdict: cyclam.Verdict{
+			Outcome:    cyclam.NotRun,
+			Reason:     cyclam.ReasonDraining,
+			RetryAfter: time.Second,
+		},
+	}
+}
+
+// mayServe checks placement once more where the work would start, by the
+// configuration in force here.
+func (s State) mayServe(e cyclam.WorkArrived) bool {
+	self := s.Tree.Self
+	return e.Service == self.Service && s.Tree.Conf.Set.Allows(e.Service, self.Place) && !s.Tree.Superseded()
+}
+
+// control folds an event of the control plane.
+func (s State) control(event cyclam.Event) (State, []cyclam.Effect) {
+	var effects, more []cyclam.Effect
+	s.Tree, effects = tree.Reduce(s.Tree, event)
+	s.Accept, more = s.Accept.WithRole(s.Tree.Holds(cyclam.RoleRoot), s.Tree.Conf)
+	effects = append(effects, more...)
+	result := accept.Reduce(s.Accept, s.Tree.Conf, event)
+	s.Accept = result.State
+	effects = append(effects, result.Effects...)
+	s.Tree, more = s.Tree.Adopt(result.Conf)
+	effects = append(effects, more...)
+	if tick, ok := event.(cyclam.Tick); ok {
+		s, more = s.tick(tick.Now)
+		effects = append(effects, more...)
+	}
+	return s, effects
+}
+
+func (s State) tick(now time.Time) (State, []cyclam.Effect) {
+	var effects, more []cyclam.Effect
+	s.Admit, effects = s.Admit.Tick(now)
+	if s.Accept.Active() {
+		s.Accept, more = s.Accept.Spread(now, s.Tree.Conf.Version, s.Tree.Report())
+		effects = append(effects, more...)
+	}
+	if !s.drained(now) {
+		return s, effects
+	}
+	s.finished = true
+	return s, append(effects, cyclam.Exit{
+		Reason: "stopped",
+	})
+}
+
+// drained reports whether a stopping node has nothing left to do.
+func (s State) drained(now time.Time) bool {
+	return s.leaving && !s.finished && !now.Before(s.leaveAt) && !s.Admit.Busy() && !s.Egress.Busy()
+}
+
+// stop begins a planned stop: nothing new is taken, all in flight is finished.
+func (s State) stop(now time.Time) (State, []cyclam.Effect) {
+	if s.leaving {
+		return s, nil
+	}
+	s.leaving = true
+	s.leaveAt = now.Add(s.Tuning.LeaveWait)
+	s.Admit = s.Admit.Drained()
+	var effects, more []cyclam.Effect
+	s.Tree, effects = s.Tree.Leave(now)
+	s.Accept, more = s.Accept.WithRole(false, s.Tree.Conf)
+	return s, append(effects, more...)
+}
+
+// probed takes in a probe of the own upstream.
+func (s State) probed(e cyclam.UpstreamProbed) State {
+	if e.Healthy {
+		s.health.failures = 0
+	} else {
+		s.health.failures++
+	}
+	up := s.health.failures < failuresToDown
+	s.Admit = s.Admit.WithHealth(e.Now, up)
+	s.Tree = s.Tree.WithHealth(e.Now, up)
+	return s
+}
--- /dev/null
+++ b/node/admin.go
@@ -0,0 +1,86 @@
+package node
+
+import (
+	"encoding/json"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/stats"
+	"github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
+)
+
+// Status is what a node tells of itself on its admin address.
+type Status struct {
+	Instance    cyclam.InstanceName   `json:"instance"`
+	Incarnation cyclam.Incarnation    `json:"incarnation"`
+	Version     cyclam.Version        `json:"version"`
+	Role        cyclam.Role           `json:"role"`
+	Path        []cyclam.InstanceName `json:"path"`
+	Attached    bool                  `json:"attached"`
+	Children    int                   `json:"children"`
+	Endpoints   int                   `json:"endpoints"`
+	Running     int                   `json:"running"`
+	Waiting     int                   `json:"waiting"`
+	Calls       int                   `json:"calls"`
+	Leaving     bool                  `json:"leaving"`
+}
+
+// Status returns what the node is doing.
+func (n *Node) Status() Status {
+	n.mu.Lock()
+	s := n.state
+	n.mu.Unlock()
+	return Status{
+		Instance:    n.self.Instance,
+		Incarnation: n.self.Incarnation,
+		Version:     s.Tree.Conf.Version,
+		Role:        s.Tree.Role(),
+		Path:        s.Tree.Path(),
+		Attached:    s.Tree.Attached(),
+		Children:    s.Tree.Children(),
+		Endpoints:   s.Tree.Roster.Live(),
+		Running:     s.Admit.Running(),
+		Waiting:     s.Admit.Waiting(),
+		Calls:       s.Egress.InFlight(),
+		Leaving:     s.Leaving(),
+	}
+}
+
+func (n *Node) handleAdmin(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/metrics":
+		n.gauges()
+		ctx.SetContentType("text/plain; version=0.0.4")
+		if err := stats.Write(ctx, n.Metrics); err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		}
+	case "/status":
+		data, err := json.Marshal(n.Status())
+		if err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+			return
+		}
+		ctx.SetContentType("application/json")
+		ctx.SetBody(data)
+	case "/ready":
+		if s := n.Status(); s.Version == 0 || s.Leaving {
+			ctx.Error("not ready", fasthttp.StatusServiceUnavailable)
+		}
+	default:
+		ctx.Error("want /metrics, /status or /ready", fasthttp.StatusNotFound)
+	}
+}
+
+// gauges brings what is read from the state up to date.
+func (n *Node) gauges() {
+	s := n.Status()
+	set := func(name string, value int64) {
+		metrics.GetOrRegisterGauge(name, n.Metrics).Update(value)
+	}
+	set("config-version", int64(s.Version))
+	set("endpoints-known", int64(s.Endpoints))
+	set("tree-children", int64(s.Children))
+	set("work-running", int64(s.Running))
+	set("work-waiting", int64(s.Waiting))
+	set("calls-in-flight", int64(s.Calls))
+}
--- /dev/null
+++ b/node/calls.go
@@ -0,0 +1,310 @@
+package node
+
+import (
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+	"go.opentelemetry.io/otel/attribute"
+)
+
+// The headers that callers may send and that answers carry.
+const (
+	headerTimeout    = "X-Request-Timeout"
+	headerKey        = "Idempotency-Key"
+	headerOutcome    = "X-Outcome"
+	headerReason     = "X-Outcome-Reason"
+	headerRetryAfter = "Retry-After"
+	headerRetryIn    = "X-Retry-After-Ms"
+)
+
+// The headers between nodes; they are removed from what callers send.
+const (
+	headerAttempt   = "X-Cyclam-Attempt"
+	headerTarget    = "X-Cyclam-Target"
+	headerService   = "X-Cyclam-Service"
+	headerRemaining = "X-Cyclam-Remaining-Us"
+	headerWorkKey   = "X-Cyclam-Key"
+	internalPrefix  = "X-Cyclam-"
+)
+
+// callEffects is how many effects a call or an attempt has under way at most.
+const callEffects = 4
+
+// handleCall serves one call of a caller from its arrival to its final answer.
+func (n *Node) handleCall(ctx *fasthttp.RequestCtx) {
+	start := time.Now()
+	stripInternal(&ctx.Request.Header)
+	span := n.tracer.Hop("call", &ctx.Request.Header)
+	deadline, err := callerDeadline(ctx, start)
+	if err != nil {
+		ctx.Response.Header.Set(headerOutcome, cyclam.NotRun.String())
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	verdict := n.runCall(ctx, cyclam.CallArrived{
+		Stamp: cyclam.Stamp{
+			Now: start,
+		},
+		Call:     cyclam.CallID(n.nextCall.Add(1)),
+		Method:   string(ctx.Method()),
+		Path:     string(ctx.Path()),
+		Key:      string(ctx.Request.Header.Peek(headerKey)),
+		Deadline: deadline,
+	})
+	n.countCall(verdict, start)
+	span.End(attribute.String("outcome", verdict.Outcome.String()))
+	writeCallAnswer(ctx, verdict)
+}
+
+// runCall performs a call's effects until one of them is its end.
+func (n *Node) runCall(ctx *fasthttp.RequestCtx, arrived cyclam.CallArrived) cyclam.Verdict {
+	effects := make(chan cyclam.Effect, callEffects)
+	n.mu.Lock()
+	n.calls[arrived.Call] = effects
+	n.mu.Unlock()
+	n.dispatch(arrived)
+	for {
+		switch e := (<-effects).(type) {
+		case cyclam.FinishCall:
+			return e.Verdict
+		case cyclam.SendAttempt:
+			verdict, explicit := n.sendAttempt(&ctx.Request, e, arrived.Key)
+			n.dispatch(cyclam.AttemptEnded{
+				Stamp:    stamp(),
+				Call:     e.Call,
+				Attempt:  e.Attempt,
+				Verdict:  verdict,
+				Explicit: explicit,
+			})
+		case cyclam.ConfirmCancel:
+			n.dispatch(cyclam.CancelAnswered{
+				Call:      e.Call,
+				Attempt:   e.Attempt,
+				Confirmed: n.confirm(n.ctx, e),
+				Stamp:     stamp(),
+			})
+		}
+	}
+}
+
+// sendAttempt sends a call to an endpoint's node, or to the own upstream.
+func (n *Node) sendAttempt(req *fasthttp.Request, e cyclam.SendAttempt, key string) (cyclam.Verdict, bool) {
+	n.meters.sends.Inc(1)
+	if e.Endpoint.Identity == n.self.Identity {
+		return n.work(req, cyclam.WorkArrived{
+			Stamp:    stamp(),
+			Attempt:  e.Attempt,
+			Target:   e.Endpoint.Identity,
+			Service:  e.Endpoint.Service,
+			Key:      key,
+			Deadline: e.Deadline,
+		}), true
+	}
+	out := fasthttp.AcquireRequest()
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(out)
+	defer fasthttp.ReleaseResponse(resp)
+	req.CopyTo(out)
+	out.SetHost(e.Endpoint.Data)
+	span := n.tracer.Hop("attempt", &out.Header)
+	out.Header.Set(headerAttempt, e.Attempt.String())
+	out.Header.Set(headerTarget, identityText(e.Endpoint.Identity))
+	out.Header.Set(headerService, string(e.Endpoint.Service))
+	out.Header.Set(headerRemaining, strconv.FormatInt(time.Until(e.Deadline).Microseconds(), 10))
+	if key != "" {
+		out.Header.Set(headerWorkKey, key)
+	}
+	err := n.clients.peer(e.Endpoint.Data).DoDeadline(out, resp, e.Deadline)
+	verdict, explicit := attemptVerdict(e, resp, err)
+	if err != nil {
+		n.Log.Warn("attempt-failed",
+			"step", "send",
+			"peer", e.Endpoint.Instance,
+			"attempt", e.Attempt.String(),
+			"outcome", verdict.Outcome.String(),
+			"error", err,
+		)
+	}
+	span.End(
+		attribute.String("peer", string(e.Endpoint.Instance)),
+		attribute.String("outcome", verdict.Outcome.String()),
+	)
+	return verdict, explicit
+}
+
+// attemptVerdict reads how an attempt ended. An answer counts only if it names
+// the attempt that was sent.
+func attemptVerdict(e cyclam.SendAttempt, resp *fasthttp.Response, err error) (cyclam.Verdict, bool) {
+	if neverSent(err) {
+		return cyclam.Verdict{
+			Outcome: cyclam.NotRun,
+			Reason:  cyclam.ReasonUpstreamDown,
+		}, false
+	}
+	if err != nil || string(resp.Header.Peek(headerAttempt)) != e.Attempt.String() {
+		return cyclam.Verdict{
+			Outcome: cyclam.Unknown,
+			Reason:  lostReason(err),
+		}, false
+	}
+	verdict := cyclam.Verdict{
+		Reason: cyclam.Reason(resp.Header.Peek(headerReason)),
+	}
+	if millis, err := strconv.Atoi(string(resp.Header.Peek(headerRetryIn))); err == nil {
+		verdict.RetryAfter = time.Duration(millis) * time.Millisecond
+	}
+	switch string(resp.Header.Peek(headerOutcome)) {
+	case cyclam.Done.String():
+		verdict.Outcome = cyclam.Done
+		verdict.Answer = copyAnswer(resp)
+	case cyclam.NotRun.String():
+		verdict.Outcome = cyclam.NotRun
+	default:
+		verdict.Outcome = cyclam.Unknown
+	}
+	return verdict, true
+}
+
+func lostReason(err error) cyclam.Reason {
+	if errors.Is(err, fasthttp.ErrTimeout) {
+		return cyclam.ReasonExpired
+	}
+	return cyclam.ReasonLost
+}
+
+// hopHeaders are not passed on; the library writes its own.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding",
+	"Upgrade", "Content-Length", "Date", "Server", headerOutcome, headerReason,
+}
+
+// copyAnswer copies an answer out of the library's memory.
+func copyAnswer(resp *fasthttp.Response) cyclam.Answer {
+	answer := cyclam.Answer{
+		Status: resp.StatusCode(),
+		Body:   append([]byte(nil), resp.Body()...),
+	}
+	for name, value := range resp.Header.All() {
+		if passes(string(name)) {
+			answer.Headers = append(answer.Headers, cyclam.Header{
+				Name:  string(name),
+				Value: string(value),
+			})
+		}
+	}
+	return answer
+}
+
+func passes(name string) bool {
+	if strings.HasPrefix(name, internalPrefix) {
+		return false
+	}
+	for _, hop := range hopHeaders {
+		if strings.EqualFold(name, hop) {
+			return false
+		}
+	}
+	return true
+}
+
+func stripInternal(header *fasthttp.RequestHeader) {
+	var drop []string
+	for name := range header.All() {
+		if strings.HasPrefix(string(name), internalPrefix) {
+			drop = append(drop, string(name))
+		}
+	}
+	for _, name := range drop {
+		header.Del(name)
+	}
+}
+
+func callerDeadline(ctx *fasthttp.RequestCtx, now time.Time) (time.Time, error) {
+	text := string(ctx.Request.Header.Peek(headerTimeout))
+	if text == "" {
+		return time.Time{}, nil
+	}
+	timeout, err := time.ParseDuration(text)
+	if err != nil || timeout <= 0 {
+		return time.Time{}, errors.Errorf("%s: got %q, want a duration such as 800ms", headerTimeout, text)
+	}
+	return now.Add(timeout), nil
+}
+
+// writeCallAnswer tells the caller how the call ended.
+func writeCallAnswer(ctx *fasthttp.RequestCtx, verdict cyclam.Verdict) {
+	writeAnswer(ctx, verdict)
+	if verdict.Outcome == cyclam.Done {
+		return
+	}
+	ctx.SetStatusCode(callStatus(verdict))
+	ctx.SetContentType("text/plain; charset=utf-8")
+	ctx.SetBodyString(verdict.Outcome.String() + ": " + string(verdict.Reason) + "\n")
+	if verdict.RetryAfter > 0 {
+		seconds := int(math.Ceil(verdict.RetryAfter.Seconds()))
+		ctx.Response.Header.Set(headerRetryAfter, strconv.Itoa(seconds))
+	}
+}
+
+func callStatus(verdict cyclam.Verdict) int {
+	switch {
+	case verdict.Reason == cyclam.ReasonNoRoute:
+		return fasthttp.StatusNotFound
+	case verdict.Reason == cyclam.ReasonExpired:
+		return fasthttp.StatusGatewayTimeout
+	case verdict.Outcome == cyclam.NotRun:
+		return fasthttp.StatusServiceUnavailable
+	default:
+		return fasthttp.StatusBadGateway
+	}
+}
+
+// writeAnswer writes outcome and answer, for callers and for other nodes.
+func writeAnswer(ctx *fasthttp.RequestCtx, verdict cyclam.Verdict) {
+	if verdict.Outcome == cyclam.Done {
+		ctx.SetStatusCode(verdict.Answer.Status)
+		for _, h := range verdict.Answer.Headers {
+			ctx.Response.Header.Add(h.Name, h.Value)
+		}
+		ctx.SetBody(verdict.Answer.Body)
+	}
+	ctx.Response.Header.Set(headerOutcome, verdict.Outcome.String())
+	if verdict.Reason != "" {
+		ctx.Response.Header.Set(headerReason, string(verdict.Reason))
+	}
+	if verdict.RetryAfter > 0 {
+		ctx.Response.Header.Set(headerRetryIn, strconv.FormatInt(verdict.RetryAfter.Milliseconds(), 10))
+	}
+}
+
+func (n *Node) countCall(verdict cyclam.Verdict, start time.Time) {
+	n.meters.calls.UpdateSince(start)
+	switch verdict.Outcome {
+	case cyclam.Done:
+		n.meters.done.Inc(1)
+	case cyclam.NotRun:
+		n.meters.notRun.Inc(1)
+	default:
+		n.meters.unknown.Inc(1)
+	}
+}
+
+// refuseMalformed answers what could not be read as a request; nothing was run.
+func (n *Node) refuseMalformed(ctx *fasthttp.RequestCtx, err error) {
+	status := fasthttp.StatusBadRequest
+	var small *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		status = fasthttp.StatusRequestEntityTooLarge
+	case errors.As(err, &small):
+		status = fasthttp.StatusRequestHeaderFieldsTooLarge
+	}
+	ctx.Error(err.Error(), status)
+	ctx.Response.Header.Set(headerOutcome, cyclam.NotRun.String())
+	ctx.SetConnectionClose()
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,252 @@
+// Package node is the shell around the decisions of one node: it turns sockets
+// and timers into events, and effects into input and output.
+package node
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/mesh"
+	"github.com/cyclamensaddle/cyclam/setup"
+	"github.com/cyclamensaddle/cyclam/trace"
+	"github.com/cyclamensaddle/cyclam/wire"
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+)
+
+// ErrExit ends Run after a planned stop.
+var ErrExit = errors.New("node has stopped")
+
+// Node is one node; set its exported fields before Run.
+type Node struct {
+	Settings setup.Settings
+	Platform cyclam.Platform
+	Log      hclog.Logger
+	Metrics  metrics.Registry
+
+	self     cyclam.Endpoint
+	tracer   *trace.Tracer
+	meters   meters
+	clients  *clients
+	cancels  *dialer
+	statuses *statuses
+	chunks   *chunkLedger
+	exit     chan string
+
+	mu       sync.Mutex
+	state    mesh.State
+	links    map[cyclam.LinkID]*link
+	calls    map[cyclam.CallID]chan cyclam.Effect
+	works    map[cyclam.AttemptID]chan cyclam.Effect
+	cancelCh map[cyclam.AttemptID][]chan bool
+	ctx      context.Context
+
+	nextCall atomic.Uint64
+	nextLink atomic.Uint64
+}
+
+// Run serves until the context ends or a planned stop is done; the error after
+// a planned stop is ErrExit.
+func (n *Node) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	n.prepare(ctx)
+	if err := n.tracer.Start(ctx); err != nil {
+		return cyclam.AtStep("start tracing", n.Settings.Instance, err)
+	}
+	listeners, err := n.listen()
+	if err != nil {
+		return err
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	n.serve(ctx, group, listeners)
+	group.Go(func() error { return n.tick(ctx) })
+	group.Go(func() error { return n.probe(ctx) })
+	group.Go(func() error { return n.awaitExit(ctx) })
+	n.Log.Info("node-started",
+		"instance", n.self.Instance,
+		"incarnation", n.self.Incarnation,
+		"service", n.self.Service,
+		"data-centre", n.self.Place.DataCentre,
+	)
+	err = group.Wait()
+	_ = n.tracer.Stop(context.WithoutCancel(ctx))
+	return err
+}
+
+func (n *Node) prepare(ctx context.Context) {
+	now := time.Now()
+	n.self = n.Settings.Endpoint(cyclam.Incarnation(now.UnixNano()))
+	if n.Metrics == nil {
+		n.Metrics = metrics.NewRegistry()
+	}
+	n.meters = newMeters(n.Metrics)
+	n.clients = newClients(n.Settings.Upstream)
+	n.cancels = &dialer{
+		options: dialOptions(n.meters, nil),
+	}
+	n.statuses = newStatuses(n.Platform)
+	n.chunks = &chunkLedger{}
+	n.exit = make(chan string, 1)
+	n.links = map[cyclam.LinkID]*link{}
+	n.calls = map[cyclam.CallID]chan cyclam.Effect{}
+	n.works = map[cyclam.AttemptID]chan cyclam.Effect{}
+	n.cancelCh = map[cyclam.AttemptID][]chan bool{}
+	n.ctx = ctx
+	n.state = mesh.New(n.self, n.Settings.Mesh(), now)
+	n.tracer = &trace.Tracer{
+		Instance: n.Settings.Instance,
+		File:     n.Settings.Trace.File,
+		OTLP:     n.Settings.Trace.OTLP,
+		Ratio:    n.Settings.Trace.Ratio,
+	}
+}
+
+type listeners struct {
+	calls, data, control, admin net.Listener
+}
+
+func (n *Node) listen() (listeners, error) {
+	var out listeners
+	for _, l := range []struct {
+		step    string
+		address string
+		into    *net.Listener
+	}{
+		{"listen for calls", n.Settings.Listen.Calls, &out.calls},
+		{"listen for data", n.Settings.Listen.Data, &out.data},
+		{"listen for control", n.Settings.Listen.Control, &out.control},
+		{"listen for admin", n.Settings.Listen.Admin, &out.admin},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return out, cyclam.AtStep(l.step, l.address, err)
+		}
+		*l.into = listener
+	}
+	return out, nil
+}
+
+// serve starts the servers and stops each when the context ends.
+func (n *Node) serve(ctx context.Context, group *errgroup.Group, l listeners) {
+	n.serveHTTP(ctx, group, l.calls, n.handleCall)
+	n.serveHTTP(ctx, group, l.data, n.handleData)
+	n.serveHTTP(ctx, group, l.admin, n.handleAdmin)
+	server := grpc.NewServer(grpc.StatsHandler(&byteCounter{
+		meters: n.meters,
+	}))
+	wire.RegisterPeerServer(server, &peerServer{
+		node: n,
+	})
+	group.Go(func() error {
+		return cyclam.AtStep("serve control", l.control.Addr().String(), server.Serve(l.control))
+	})
+	group.Go(func() error {
+		<-ctx.Done()
+		server.Stop()
+		return nil
+	})
+}
+
+// shutdownLimit bounds the wait for idle connections at the end.
+const shutdownLimit = time.Second
+
+func (n *Node) serveHTTP(ctx context.Context, group *errgroup.Group, listener net.Listener, handler fasthttp.RequestHandler) {
+	server := &fasthttp.Server{
+		Handler:               handler,
+		ReadBufferSize:        n.Settings.Limits.HeaderBytes,
+		MaxRequestBodySize:    n.Settings.Limits.BodyBytes,
+		Concurrency:           n.Settings.Limits.Connections,
+		CloseOnShutdown:       true,
+		NoDefaultServerHeader: true,
+		Logger: quiet{
+			log: n.Log,
+		},
+		ErrorHandler: n.refuseMalformed,
+	}
+	group.Go(func() error {
+		return cyclam.AtStep("serve", listener.Addr().String(), server.Serve(listener))
+	})
+	group.Go(func() error {
+		<-ctx.Done()
+		limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownLimit)
+		defer cancel()
+		_ = server.ShutdownWithContext(limit)
+		return nil
+	})
+}
+
+// quiet passes the HTTP library's lines on as debug events.
+type quiet struct {
+	log hclog.Logger
+}
+
+// Printf logs one line.
+func (q quiet) Printf(format string, args ...any) {
+	q.log.Debug("http-server", "detail", hclog.Fmt(format, args...))
+}
+
+// Stop begins a planned stop; Run returns once nothing is in flight.
+func (n *Node) Stop() {
+	n.dispatch(cyclam.StopAsked{
+		Stamp: stamp(),
+	})
+}
+
+func (n *Node) awaitExit(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case reason := <-n.exit:
+		n.Log.Info("node-stopped", "reason", reason)
+		return ErrExit
+	}
+}
+
+// tick lets the decisions see time pass.
+func (n *Node) tick(ctx context.Context) error {
+	ticker := time.NewTicker(n.Settings.Tuning.Flush)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			n.dispatch(cyclam.Tick{
+				Stamp: stamp(),
+			})
+		}
+	}
+}
+
+// probe asks the own upstream for its health; what it says is only a hint.
+func (n *Node) probe(ctx context.Context) error {
+	ticker := time.NewTicker(n.Settings.Upstream.ProbeEvery)
+	defer ticker.Stop()
+	for {
+		healthy := n.clients.healthy()
+		n.dispatch(cyclam.UpstreamProbed{
+			Stamp:   stamp(),
+			Healthy: healthy,
+		})
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func stamp() cyclam.Stamp {
+	return cyclam.Stamp{
+		Now: time.Now(),
+	}
+}
--- /dev/null
+++ b/oper/node.go
@@ -0,0 +1,58 @@
+package oper
+
+import (
+	"context"
+	"os/signal"
+	"syscall"
+
+	"github.com/cyclamensaddle/cyclam/node"
+	"github.com/cyclamensaddle/cyclam/store"
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+)
+
+func (a *App) nodeCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "node",
+		Usage: "run the node beside an upstream instance until SIGTERM",
+		Description: "Example:\n" +
+			"  cyclamensaddle node --settings samples/harrowgate/node.json",
+		Flags: []cli.Flag{
+			&cli.StringFlag{
+				Name:     "settings",
+				Usage:    "settings file",
+				Required: true,
+			},
+		},
+		Action: a.runNode,
+	}
+}
+
+// runNode runs a node; the first SIGTERM or SIGINT begins a planned stop, the
+// second ends the process at once.
+func (a *App) runNode(ctx context.Context, c *cli.Command) error {
+	settings, err := readSettings(c.String("settings"))
+	if err != nil {
+		return err
+	}
+	n := &node.Node{
+		Settings: settings,
+		Platform: store.New(settings.Platform.Address),
+		Log:      newLogger(settings.Log.Level),
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	asked, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	go func() {
+		<-asked.Done()
+		stop()
+		if ctx.Err() == nil {
+			n.Stop()
+		}
+	}()
+	if err := n.Run(ctx); !errors.Is(err, node.ErrExit) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/oper/status.go
@@ -0,0 +1,170 @@
+package oper
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/accept"
+	"github.com/cyclamensaddle/cyclam/conf"
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+)
+
+// pollPause is the time between two looks at the status.
+const pollPause = 100 * time.Millisecond
+
+// report is what status prints.
+type report struct {
+	Fleet   accept.FleetStatus    `json:"fleet"`
+	Objects []accept.ObjectStatus `json:"objects"`
+}
+
+func (a *App) statusCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "status",
+		Usage: "show what is accepted, refused and in force",
+		Description: "Examples:\n" +
+			"  cyclamensaddle status\n" +
+			"  cyclamensaddle status --wait --timeout 10s",
+		Flags:  platformFlags(waitFlags()...),
+		Action: a.status,
+	}
+}
+
+func (a *App) status(ctx context.Context, c *cli.Command) error {
+	platform := a.platform(c)
+	if c.Bool("wait") {
+		list, err := platform.List(ctx, cyclam.OperatorKinds()...)
+		if err != nil {
+			return err
+		}
+		if err := a.waitFor(ctx, c, platform, list.Objects); err != nil {
+			return err
+		}
+	}
+	r, err := readReport(ctx, platform)
+	if err != nil {
+		return err
+	}
+	if c.String("output") == formatJSON {
+		return writeJSON(a.Out, r)
+	}
+	return a.printReport(r)
+}
+
+func (a *App) printReport(r report) error {
+	fmt.Fprintf(a.Out, "version %d in force on %d of %d nodes", r.Fleet.Version, r.Fleet.InForce, r.Fleet.Nodes)
+	if r.Fleet.Converged != "" {
+		fmt.Fprintf(a.Out, ", everywhere after %s", r.Fleet.Converged)
+	}
+	fmt.Fprintln(a.Out)
+	var rows [][]string
+	for _, centre := range r.Fleet.DataCentres {
+		rows = append(rows, []string{
+			centre.DataCentre,
+			strconv.Itoa(centre.InForce) + " of " + strconv.Itoa(centre.Nodes),
+			strconv.FormatUint(uint64(centre.Oldest), 10),
+		})
+	}
+	if err := writeTable(a.Out, []string{"DATA-CENTRE", "IN-FORCE", "OLDEST-VERSION"}, rows); err != nil {
+		return err
+	}
+	fmt.Fprintln(a.Out)
+	rows = nil
+	for _, object := range r.Objects {
+		rows = append(rows, []string{
+			object.Object,
+			string(object.State),
+			strconv.FormatUint(uint64(object.Version), 10),
+			problemText(object.Problems),
+		})
+	}
+	return writeTable(a.Out, []string{"OBJECT", "STATE", "VERSION", "PROBLEMS"}, rows)
+}
+
+func problemText(problems []accept.StatusProblem) string {
+	var lines []string
+	for _, p := range problems {
+		lines = append(lines, cyclam.Problem(p).String())
+	}
+	return strings.Join(lines, "; ")
+}
+
+func readReport(ctx context.Context, platform cyclam.Platform) (report, error) {
+	list, err := platform.List(ctx, cyclam.KindStatus)
+	if err != nil {
+		return report{}, err
+	}
+	var r report
+	for _, object := range list.Objects {
+		if object.Name == accept.FleetStatusName {
+			err = json.Unmarshal(object.Spec, &r.Fleet)
+		} else {
+			var status accept.ObjectStatus
+			err = json.Unmarshal(object.Spec, &status)
+			r.Objects = append(r.Objects, status)
+		}
+		if err != nil {
+			return report{}, errors.Wrap(err, "decode status "+object.Name)
+		}
+	}
+	return r, nil
+}
+
+// waitFor waits until the objects are decided on and the fleet has the version
+// in force, and fails at once if one is refused.
+func (a *App) waitFor(ctx context.Context, c *cli.Command, platform cyclam.Platform, objects []cyclam.Object) error {
+	ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
+	defer cancel()
+	shown := ""
+	for {
+		r, err := readReport(ctx, platform)
+		if err == nil {
+			done, text, refused := progress(r, objects)
+			if text != shown {
+				fmt.Fprintln(a.Err, text)
+				shown = text
+			}
+			if refused != nil || done {
+				return refused
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return coded(ExitTimeout, errors.Errorf("not in force everywhere after %s: %s", c.Duration("timeout"), shown))
+		case <-time.After(pollPause):
+		}
+	}
+}
+
+// progress says how far the objects have come.
+func progress(r report, objects []cyclam.Object) (bool, string, error) {
+	states := map[string]accept.ObjectStatus{}
+	for _, status := range r.Objects {
+		states[status.Object] = status
+	}
+	accepted := 0
+	var version cyclam.Version
+	for _, object := range objects {
+		status, ok := states[object.Key().String()]
+		if !ok || status.Revision < object.Revision || status.State == conf.Waiting {
+			continue
+		}
+		if status.State == conf.Rejected {
+			return false, "", coded(ExitRefused, errors.New(status.Object+" refused: "+problemText(status.Problems)))
+		}
+		accepted++
+		version = max(version, status.Version)
+	}
+	if accepted < len(objects) {
+		return false, fmt.Sprintf("accepted %d of %d objects", accepted, len(objects)), nil
+	}
+	text := fmt.Sprintf("version %d in force on %d of %d nodes", r.Fleet.Version, r.Fleet.InForce, r.Fleet.Nodes)
+	done := r.Fleet.Version >= version && r.Fleet.Nodes > 0 && r.Fleet.InForce == r.Fleet.Nodes
+	return done, text, nil
+}
--- /dev/null
+++ b/oper/watch.go
@@ -0,0 +1,78 @@
+package oper
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+)
+
+// watchWait is how long one watch call waits.
+const watchWait = 20 * time.Second
+
+func (a *App) watchCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "watch",
+		Usage: "print changes of objects and of their status until interrupted",
+		Flags: platformFlags(&cli.DurationFlag{
+			Name:  "for",
+			Usage: "stop after this time; 0 never stops",
+		}),
+		Action: a.watch,
+	}
+}
+
+func (a *App) watch(ctx context.Context, c *cli.Command) error {
+	if limit := c.Duration("for"); limit > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, limit)
+		defer cancel()
+	}
+	platform := a.platform(c)
+	kinds := append(cyclam.OperatorKinds(), cyclam.KindStatus)
+	list, err := platform.List(ctx, kinds...)
+	if err != nil {
+		return err
+	}
+	from := list.Revision
+	for {
+		changes, err := platform.Watch(ctx, from, a.watchSpan(ctx), kinds...)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if errors.Is(err, cyclam.ErrCompacted) {
+			return errors.New("too far behind, run watch again")
+		}
+		if err != nil {
+			return err
+		}
+		from = changes.Revision
+		for _, event := range changes.Events {
+			if err := a.printEvent(c, event); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (a *App) watchSpan(ctx context.Context) time.Duration {
+	if deadline, ok := ctx.Deadline(); ok {
+		return min(watchWait, max(time.Until(deadline), time.Millisecond))
+	}
+	return watchWait
+}
+
+func (a *App) printEvent(c *cli.Command, event cyclam.ObjectEvent) error {
+	if c.String("output") == formatJSON {
+		return writeJSON(a.Out, event)
+	}
+	verb := "written"
+	if event.Deleted {
+		verb = "deleted"
+	}
+	_, err := fmt.Fprintf(a.Out, "%s %s revision=%d %s\n", event.Object.Key(), verb, event.Object.Revision, event.Object.Spec)
+	return err
+}
--- /dev/null
+++ b/setup/setup.go
@@ -0,0 +1,244 @@
+// Package setup reads and checks the settings of a node.
+package setup
+
+import (
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/strict"
+	"github.com/pkg/errors"
+)
+
+// Settings is the content of a node's settings file.
+type Settings struct {
+	Instance   string   `json:"instance" required:"true"`
+	Service    string   `json:"service" required:"true"`
+	Region     string   `json:"region" required:"true"`
+	DataCentre string   `json:"data-centre" required:"true"`
+	Listen     Listen   `json:"listen" required:"true"`
+	Upstream   Upstream `json:"upstream" required:"true"`
+	Platform   Platform `json:"platform" required:"true"`
+	// Seeds lists control addresses of nodes to start from while the platform
+	// does not answer.
+	Seeds  []string `json:"seeds"`
+	Tuning Tuning   `json:"tuning"`
+	Limits Limits   `json:"limits"`
+	Trace  Trace    `json:"trace"`
+	Log    Log      `json:"log"`
+}
+
+// Listen holds the host:port of each server of a node.
+type Listen struct {
+	// Calls takes calls from callers and from the own upstream.
+	Calls string `json:"calls" required:"true"`
+	// Data takes calls from other nodes.
+	Data string `json:"data" required:"true"`
+	// Control takes links from other nodes.
+	Control string `json:"control" required:"true"`
+	// Admin serves metrics and the node's state.
+	Admin string `json:"admin" required:"true"`
+}
+
+// Upstream describes the upstream beside the node.
+type Upstream struct {
+	Address     string        `json:"address" required:"true"`
+	Slots       int           `json:"slots" min:"1" max:"100000"`
+	Connections int           `json:"connections" min:"1" max:"100000"`
+	Queue       int           `json:"queue" min:"0" max:"100000"`
+	QueueWait   time.Duration `json:"queue-wait" min:"1ms" max:"10s"`
+	ColdStart   time.Duration `json:"cold-start" min:"0s" max:"10m"`
+	HealthPath  string        `json:"health-path"`
+	CancelPath  string        `json:"cancel-path"`
+	ProbeEvery  time.Duration `json:"probe-every" min:"50ms" max:"1m"`
+}
+
+// Platform says where the platform's object API is.
+type Platform struct {
+	Address string `json:"address" required:"true"`
+	Region  string `json:"region" required:"true"`
+}
+
+// Tuning holds the knobs of distribution and of calls.
+type Tuning struct {
+	FanOut     int           `json:"fan-out" min:"1" max:"1000"`
+	Flush      time.Duration `json:"flush" min:"1ms" max:"5s"`
+	Beat       time.Duration `json:"beat" min:"20ms" max:"10s"`
+	Lapse      time.Duration `json:"lapse" min:"100ms" max:"1m"`
+	Grace      time.Duration `json:"grace" min:"100ms" max:"1m"`
+	Term       time.Duration `json:"term" min:"200ms" max:"1m"`
+	LeaveWait  time.Duration `json:"leave-wait" min:"0s" max:"1m"`
+	MaxSends   int           `json:"max-sends" min:"1" max:"10"`
+	RetryShare float64       `json:"retry-share" min:"0" max:"1"`
+	RetryBurst float64       `json:"retry-burst" min:"0" max:"1000"`
+	Ramp       time.Duration `json:"ramp" min:"0s" max:"10m"`
+	EjectBase  time.Duration `json:"eject-base" min:"10ms" max:"1m"`
+	EjectMax   time.Duration `json:"eject-max" min:"10ms" max:"10m"`
+	Memory     time.Duration `json:"memory" min:"1s" max:"1h"`
+	KeyMemory  time.Duration `json:"key-memory" min:"1s" max:"24h"`
+}
+
+// Limits bounds what callers may send.
+type Limits struct {
+	HeaderBytes int `json:"header-bytes" min:"1024" max:"1048576"`
+	BodyBytes   int `json:"body-bytes" min:"1" max:"1073741824"`
+	Connections int `json:"connections" min:"1" max:"1000000"`
+}
+
+// Trace says where spans go.
+type Trace struct {
+	// File takes spans as JSON lines; empty writes none.
+	File string `json:"file"`
+	// OTLP is the host:port of a collector; empty sends none.
+	OTLP string `json:"otlp"`
+	// Ratio is the share of calls that are traced, from 0 to 1.
+	Ratio float64 `json:"ratio" min:"0" max:"1"`
+}
+
+// Log says what is logged.
+type Log struct {
+	Level string `json:"level"`
+}
+
+// Defaults returns settings in which only what is required is missing.
+func Defaults() Settings {
+	return Settings{
+		Upstream: Upstream{
+			Slots:       12,
+			Connections: 120,
+			Queue:       24,
+			QueueWait:   200 * time.Millisecond,
+			HealthPath:  "/health",
+			ProbeEvery:  time.Second,
+		},
+		Tuning: Tuning{
+			FanOut:     16,
+			Flush:      20 * time.Millisecond,
+			Beat:       500 * time.Millisecond,
+			Lapse:      2 * time.Second,
+			Grace:      3 * time.Second,
+			Term:       3 * time.Second,
+			LeaveWait:  time.Second,
+			MaxSends:   3,
+			RetryShare: 0.1,
+			RetryBurst: 10,
+			Ramp:       10 * time.Second,
+			EjectBase:  time.Second,
+			EjectMax:   30 * time.Second,
+			Memory:     time.Minute,
+			KeyMemory:  10 * time.Minute,
+		},
+		Limits: Limits{
+			HeaderBytes: 16 << 10,
+			BodyBytes:   16 << 20,
+			Connections: 10_000,
+		},
+		Log: Log{
+			Level: "info",
+		},
+	}
+}
+
+// Read reads a settings file and returns every fault in it at once.
+func Read(path string) (Settings, []strict.Fault, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, nil, errors.Wrap(err, "read settings")
+	}
+	settings, faults := Parse(data)
+	return settings, faults, nil
+}
+
+// Parse decodes settings and checks them as a whole.
+func Parse(data []byte) (Settings, []strict.Fault) {
+	settings := Defaults()
+	faults := strict.Decode(data, &settings)
+	return settings, append(faults, settings.check()...)
+}
+
+func (s Settings) check() []strict.Fault {
+	var faults []strict.Fault
+	add := func(path, reason string) {
+		faults = append(faults, strict.Fault{
+			Path:   path,
+			Reason: reason,
+		})
+	}
+	addresses := []struct{ path, address string }{
+		{"listen.calls", s.Listen.Calls},
+		{"listen.data", s.Listen.Data},
+		{"listen.control", s.Listen.Control},
+		{"listen.admin", s.Listen.Admin},
+		{"upstream.address", s.Upstream.Address},
+		{"platform.address", s.Platform.Address},
+		{"trace.otlp", s.Trace.OTLP},
+	}
+	for i, seed := range s.Seeds {
+		addresses = append(addresses, struct{ path, address string }{"seeds[" + strconv.Itoa(i) + "]", seed})
+	}
+	used := map[string]string{}
+	for _, a := range addresses {
+		if a.address == "" {
+			continue
+		}
+		if reason := addressFault(a.address); reason != "" {
+			add(a.path, reason)
+		}
+		if first, taken := used[a.address]; taken && len(a.path) > 6 && a.path[:6] == "listen" {
+			add(a.path, "got \""+a.address+"\", which "+first+" uses already")
+		}
+		used[a.address] = a.path
+	}
+	if s.Tuning.Lapse < 2*s.Tuning.Beat {
+		add("tuning.lapse", "got "+s.Tuning.Lapse.String()+", want at least twice tuning.beat, "+(2*s.Tuning.Beat).String())
+	}
+	if s.Tuning.EjectMax < s.Tuning.EjectBase {
+		add("tuning.eject-max", "got "+s.Tuning.EjectMax.String()+", want at least tuning.eject-base, "+s.Tuning.EjectBase.String())
+	}
+	if s.Upstream.Connections < s.Upstream.Slots {
+		add("upstream.connections", "got "+strconv.Itoa(s.Upstream.Connections)+", want at least upstream.slots, "+strconv.Itoa(s.Upstream.Slots))
+	}
+	switch s.Log.Level {
+	case "trace", "debug", "info", "warn", "error":
+	default:
+		add("log.level", "got \""+s.Log.Level+"\", want trace, debug, info, warn or error")
+	}
+	return faults
+}
+
+// addressFault says what is wrong with a host:port; nodes talk by IP number.
+func addressFault(address string) string {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return "got \"" + address + "\", want IP:port"
+	}
+	if net.ParseIP(host) == nil {
+		return "got host \"" + host + "\", want an IP number"
+	}
+	if n, err := strconv.Atoi(port); err != nil || n < 1 || n > 65535 {
+		return "got port \"" + port + "\", want 1 to 65535"
+	}
+	return ""
+}
+
+// Endpoint returns what the node announces of itself.
+func (s Settings) Endpoint(incarnation cyclam.Incarnation) cyclam.Endpoint {
+	return cyclam.Endpoint{
+		Identity: cyclam.Identity{
+			Instance:    cyclam.InstanceName(s.Instance),
+			Incarnation: incarnation,
+		},
+		Sequence: 1,
+		State:    cyclam.EndpointReady,
+		Service:  cyclam.ServiceName(s.Service),
+		Place: cyclam.Place{
+			Region:     cyclam.Region(s.Region),
+			DataCentre: cyclam.DataCentre(s.DataCentre),
+		},
+		Data:    s.Listen.Data,
+		Control: s.Listen.Control,
+		Slots:   uint32(s.Upstream.Slots),
+	}
+}
--- /dev/null
+++ b/setup/tuning.go
@@ -0,0 +1,44 @@
+package setup
+
+import (
+	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/admit"
+	"github.com/cyclamensaddle/cyclam/egress"
+	"github.com/cyclamensaddle/cyclam/mesh"
+	"github.com/cyclamensaddle/cyclam/tree"
+)
+
+// Mesh returns the knobs of the node's decisions.
+func (s Settings) Mesh() mesh.Tuning {
+	t := s.Tuning
+	return mesh.Tuning{
+		Tree: tree.Tuning{
+			FanOut:         t.FanOut,
+			Flush:          t.Flush,
+			Beat:           t.Beat,
+			Lapse:          t.Lapse,
+			Grace:          t.Grace,
+			Term:           t.Term,
+			PlatformRegion: cyclam.Region(s.Platform.Region),
+			Seeds:          s.Seeds,
+		},
+		Admit: admit.Tuning{
+			Slots:     s.Upstream.Slots,
+			Queue:     s.Upstream.Queue,
+			QueueWait: s.Upstream.QueueWait,
+			ColdStart: s.Upstream.ColdStart,
+			Memory:    t.Memory,
+			KeyMemory: t.KeyMemory,
+		},
+		Egress: egress.Tuning{
+			MaxSends:   t.MaxSends,
+			RetryShare: t.RetryShare,
+			RetryBurst: t.RetryBurst,
+			Ramp:       t.Ramp,
+			EjectBase:  t.EjectBase,
+			EjectMax:   t.EjectMax,
+			ShedMax:    s.Upstream.QueueWait * 5,
+		},
+		LeaveWait: t.LeaveWait,
+	}
+}
--- /dev/null
+++ b/stand/fleet/fleet.go
@@ -0,0 +1,306 @@
+package fleet
+
+import (
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/cyclamensaddle/cyclam/node"
+	"github.com/cyclamensaddle/cyclam/stand/objapi"
+	"github.com/cyclamensaddle/cyclam/stand/worker"
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// Fleet is a running deployment; set its exported fields before Start.
+type Fleet struct {
+	Spec Spec
+	// Bin is the folder with the built programs.
+	Bin string
+	// Dir takes settings and logs.
+	Dir string
+	// Port is the first port to use.
+	Port int
+
+	Members  []Member
+	Platform string
+	nodes    map[string]*exec.Cmd
+	others   []*exec.Cmd
+}
+
+// Start starts the platform, all upstreams and all nodes.
+func (f *Fleet) Start() error {
+	f.Members = f.Spec.Members(f.Port)
+	f.Platform = local(f.Port)
+	f.nodes = map[string]*exec.Cmd{}
+	if err := f.StartPlatform(); err != nil {
+		return err
+	}
+	for _, m := range f.Members {
+		if err := f.startUpstream(m); err != nil {
+			return err
+		}
+	}
+	for _, m := range f.Members {
+		if err := f.StartNode(m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartPlatform starts the platform stand-in and waits until it answers.
+func (f *Fleet) StartPlatform() error {
+	cmd, err := f.start("platform", "stand-platform", "-listen", f.Platform)
+	if err != nil {
+		return err
+	}
+	f.others = append(f.others, cmd)
+	return Eventually(5*time.Second, func() error {
+		_, err := Get("http://" + f.Platform + "/stats")
+		return err
+	})
+}
+
+func (f *Fleet) startUpstream(m Member) error {
+	cmd, err := f.start("upstream-"+m.Name, "stand-upstream",
+		"-listen", m.Upstream,
+		"-name", m.Name,
+		"-slots", strconv.Itoa(m.Service.Slots),
+		"-connections", strconv.Itoa(m.Service.Connections),
+	)
+	f.others = append(f.others, cmd)
+	return err
+}
+
+// StartNode writes a member's settings and starts its node.
+func (f *Fleet) StartNode(m Member) error {
+	path := filepath.Join(f.Dir, m.Name+".json")
+	data, err := json.MarshalIndent(f.settings(m), "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "encode settings")
+	}
+	if err := os.WriteFile(path, data, 0o644); err != nil {
+		return errors.Wrap(err, "write settings")
+	}
+	cmd, err := f.start(m.Name, "cyclamensaddle", "node", "--settings", path)
+	f.nodes[m.Name] = cmd
+	return err
+}
+
+func (f *Fleet) settings(m Member) map[string]any {
+	var seeds []string
+	for _, o := range f.Members {
+		if o.Name != m.Name && len(seeds) < 4 {
+			seeds = append(seeds, o.Control)
+		}
+	}
+	return map[string]any{
+		"instance": m.Name, "service": m.Service.Name,
+		"region": m.Place.Region, "data-centre": m.Place.DataCentre,
+		"listen": map[string]any{"calls": m.Calls, "data": m.Data, "control": m.Control, "admin": m.Admin},
+		"upstream": map[string]any{
+			"address": m.Upstream, "slots": m.Service.Slots, "connections": m.Service.Connections,
+			"cancel-path": "/cancel",
+		},
+		"platform": map[string]any{"address": f.Platform, "region": f.Spec.PlatformRegion},
+		"seeds":    seeds,
+		"tuning":   f.Spec.Tuning,
+	}
+}
+
+func (f *Fleet) start(name, program string, args ...string) (*exec.Cmd, error) {
+	logFile, err := os.OpenFile(filepath.Join(f.Dir, name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, errors.Wrap(err, "open log")
+	}
+	defer logFile.Close()
+	cmd := exec.Command(filepath.Join(f.Bin, program), args...)
+	cmd.Stdout = logFile
+	cmd.Stderr = logFile
+	return cmd, errors.Wrap(cmd.Start(), "start "+name)
+}
+
+// Kill ends a node's process at once and waits for its end.
+func (f *Fleet) Kill(name string) {
+	cmd := f.nodes[name]
+	_ = cmd.Process.Kill()
+	_ = cmd.Wait()
+}
+
+// Pause stops a node's process where it stands.
+func (f *Fleet) Pause(name string) error { return f.nodes[name].Process.Signal(syscall.SIGSTOP) }
+
+// Resume lets a paused node go on.
+func (f *Fleet) Resume(name string) error { return f.nodes[name].Process.Signal(syscall.SIGCONT) }
+
+// Drain begins a planned stop of a node and waits for its end; the result is
+// the process's exit status.
+func (f *Fleet) Drain(name string, limit time.Duration) error {
+	cmd := f.nodes[name]
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		return errors.Wrap(err, "signal "+name)
+	}
+	done := make(chan error, 1)
+	go func() { done <- cmd.Wait() }()
+	select {
+	case err := <-done:
+		return errors.Wrap(err, "drain "+name)
+	case <-time.After(limit):
+		_ = cmd.Process.Kill()
+		return errors.New("drain " + name + ": still running after " + limit.String())
+	}
+}
+
+// Stop ends everything that was started.
+func (f *Fleet) Stop() {
+	for _, cmd := range f.nodes {
+		_ = cmd.Process.Signal(syscall.SIGCONT)
+		_ = cmd.Process.Kill()
+	}
+	for _, cmd := range f.others {
+		_ = cmd.Process.Kill()
+	}
+	for _, cmd := range f.nodes {
+		_ = cmd.Wait()
+	}
+	for _, cmd := range f.others {
+		_ = cmd.Wait()
+	}
+}
+
+// Member returns the member with a name.
+func (f *Fleet) Member(name string) Member {
+	for _, m := range f.Members {
+		if m.Name == name {
+			return m
+		}
+	}
+	panic("no member " + name)
+}
+
+// NodeStatus asks a node for its state.
+func (f *Fleet) NodeStatus(m Member) (node.Status, error) {
+	var status node.Status
+	err := getJSON("http://"+m.Admin+"/status", &status)
+	return status, err
+}
+
+// Jobs returns how often each job was run, over all upstreams.
+func (f *Fleet) Jobs() (map[string]int, error) {
+	jobs := map[string]int{}
+	for _, m := range f.Members {
+		var stats worker.Stats
+		if err := getJSON("http://"+m.Upstream+"/stats", &stats); err != nil {
+			return nil, err
+		}
+		for job, times := range stats.Jobs {
+			jobs[job] += times
+		}
+	}
+	return jobs, nil
+}
+
+// PlatformStats returns what the platform was asked so far.
+func (f *Fleet) PlatformStats() (objapi.Stats, error) {
+	var stats objapi.Stats
+	err := getJSON("http://"+f.Platform+"/stats", &stats)
+	return stats, err
+}
+
+// PlatformFault replaces the platform's present fault.
+func (f *Fleet) PlatformFault(fault objapi.Fault) error {
+	return post("http://"+f.Platform+"/fault", fault)
+}
+
+// UpstreamFault replaces an upstream's present fault.
+func (f *Fleet) UpstreamFault(m Member, fault worker.Fault) error {
+	return post("http://"+m.Upstream+"/fault", fault)
+}
+
+// requestLimit bounds a request to a stand-in or to a node's admin address.
+const requestLimit = 2 * time.Second
+
+// Get returns the body of a successful answer.
+func Get(url string) ([]byte, error) {
+	status, body, err := fasthttp.GetTimeout(nil, url, requestLimit)
+	if err != nil {
+		return nil, errors.Wrap(err, "get "+url)
+	}
+	if status != fasthttp.StatusOK {
+		return nil, errors.Errorf("get %s: status %d", url, status)
+	}
+	return body, nil
+}
+
+func getJSON(url string, into any) error {
+	body, err := Get(url)
+	if err != nil {
+		return err
+	}
+	return errors.Wrap(json.Unmarshal(body, into), "decode "+url)
+}
+
+func post(url string, value any) error {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return errors.Wrap(err, "encode")
+	}
+	req := fasthttp.AcquireRequest()
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI(url)
+	req.SetBody(data)
+	return errors.Wrap(fasthttp.DoTimeout(req, resp, requestLimit), "post "+url)
+}
+
+// Eventually repeats a check until it passes or the limit is over.
+func Eventually(limit time.Duration, check func() error) error {
+	deadline := time.Now().Add(limit)
+	for {
+		err := check()
+		if err == nil || time.Now().After(deadline) {
+			return err
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// AwaitVersion waits until every listed node has a version in force.
+func (f *Fleet) AwaitVersion(limit time.Duration, version uint64, members []Member) error {
+	return Eventually(limit, func() error {
+		for _, m := range members {
+			status, err := f.NodeStatus(m)
+			if err != nil {
+				return err
+			}
+			if uint64(status.Version) < version {
+				return errors.Errorf("%s holds version %d, want %d", m.Name, status.Version, version)
+			}
+		}
+		return nil
+	})
+}
+
+// AwaitAttached waits until every listed node is fed and knows the endpoints of
+// all of them.
+func (f *Fleet) AwaitAttached(limit time.Duration, members []Member) error {
+	return Eventually(limit, func() error {
+		for _, m := range members {
+			status, err := f.NodeStatus(m)
+			if err != nil {
+				return err
+			}
+			if !status.Attached || status.Endpoints < len(members) {
+				return errors.Errorf("%s: attached %v, knows %d endpoints, want %d", m.Name, status.Attached, status.Endpoints, len(members))
+			}
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/stand/objapi/store.go
@@ -0,0 +1,155 @@
+// Package objapi is a stand-in for the platform's object API: versions,
+// conditional updates and watches, held in memory, with faults on demand.
+package objapi
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
+)
+
+// historyLimit is how many events a watch can look back.
+const historyLimit = 20_000
+
+var _ cyclam.Platform = (*Store)(nil)
+
+// Store holds the objects.
+type Store struct {
+	mu       sync.Mutex
+	objects  map[cyclam.Key]cyclam.Object
+	history  []entry
+	revision uint64
+	changed  chan struct{}
+}
+
+type entry struct {
+	revision uint64
+	event    cyclam.ObjectEvent
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{
+		objects: map[cyclam.Key]cyclam.Object{},
+		changed: make(chan struct{}),
+	}
+}
+
+// Get returns an object.
+func (s *Store) Get(_ context.Context, key cyclam.Key) (cyclam.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	object, ok := s.objects[key]
+	if !ok {
+		return cyclam.Object{}, cyclam.ErrNotFound
+	}
+	return object, nil
+}
+
+// List returns all objects of some kinds.
+func (s *Store) List(_ context.Context, kinds ...cyclam.Kind) (cyclam.ObjectList, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := cyclam.ObjectList{
+		Revision: s.revision,
+	}
+	for key, object := range s.objects {
+		if slices.Contains(kinds, key.Kind) {
+			list.Objects = append(list.Objects, object)
+		}
+	}
+	slices.SortFunc(list.Objects, func(a, b cyclam.Object) int {
+		return int(a.Revision) - int(b.Revision)
+	})
+	return list, nil
+}
+
+// Put writes an object if its stored revision is the object's.
+func (s *Store) Put(_ context.Context, object cyclam.Object) (cyclam.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.objects[object.Key()].Revision != object.Revision {
+		return cyclam.Object{}, cyclam.ErrConflict
+	}
+	s.revision++
+	object.Revision = s.revision
+	s.objects[object.Key()] = object
+	s.record(cyclam.ObjectEvent{
+		Object: object,
+	})
+	return object, nil
+}
+
+// Delete removes an object if its stored revision is the given one.
+func (s *Store) Delete(_ context.Context, key cyclam.Key, revision uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	object, ok := s.objects[key]
+	if !ok {
+		return cyclam.ErrNotFound
+	}
+	if object.Revision != revision {
+		return cyclam.ErrConflict
+	}
+	s.revision++
+	delete(s.objects, key)
+	s.record(cyclam.ObjectEvent{
+		Object:  object,
+		Deleted: true,
+	})
+	return nil
+}
+
+func (s *Store) record(event cyclam.ObjectEvent) {
+	s.history = append(s.history, entry{
+		revision: s.revision,
+		event:    event,
+	})
+	if len(s.history) > historyLimit {
+		s.history = slices.Clone(s.history[historyLimit/2:])
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Watch returns changes after a revision, or none once wait has passed.
+func (s *Store) Watch(ctx context.Context, from uint64, wait time.Duration, kinds ...cyclam.Kind) (cyclam.ObjectChanges, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		changes, changed, err := s.since(from, kinds)
+		if err != nil || len(changes.Events) > 0 {
+			return changes, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return changes, nil
+		case <-ctx.Done():
+			return changes, ctx.Err()
+		}
+	}
+}
+
+func (s *Store) since(from uint64, kinds []cyclam.Kind) (cyclam.ObjectChanges, chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changes := cyclam.ObjectChanges{
+		Revision: s.revision,
+	}
+	if len(s.history) > 0 && from+1 < s.history[0].revision {
+		return changes, nil, cyclam.ErrCompacted
+	}
+	start, _ := slices.BinarySearchFunc(s.history, from+1, func(e entry, revision uint64) int {
+		return int(e.revision) - int(revision)
+	})
+	for _, e := range s.history[start:] {
+		if slices.Contains(kinds, e.event.Object.Kind) {
+			changes.Events = append(changes.Events, e.event)
+		}
+	}
+	return changes, s.changed, nil
+}
--- /dev/null
+++ b/tree/seek.go
@@ -0,0 +1,253 @@
+package tree
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/lease"
+)
+
+// The pace of a search for a parent.
+const (
+	dialLimit     = time.Second
+	searchPause   = 300 * time.Millisecond
+	fallbackPause = time.Second
+	// fallbackTries is how many peers are tried between two reads of a claim
+	// while the platform does not answer.
+	fallbackTries = 3
+	// foreignRootTerms is how many terms a lead outside the platform's region
+	// waits before it takes over the root.
+	foreignRootTerms = 3
+)
+
+// seek is a search for a parent.
+type seek struct {
+	queue []string
+	// known is set once the target's claim has been read in this search.
+	known  bool
+	failed int
+	dial   cyclam.LinkID
+	next   time.Time
+	since  time.Time
+}
+
+// target returns the role whose holder is to feed this node.
+func (s State) target() cyclam.Role {
+	switch s.Role() {
+	case cyclam.RoleRoot:
+		return ""
+	case cyclam.RoleLead:
+		return cyclam.RoleRoot
+	case cyclam.RoleHub:
+		return cyclam.RoleLead
+	default:
+		return cyclam.RoleHub
+	}
+}
+
+// search takes the next step towards a parent.
+func (s State) search(now time.Time) (State, []cyclam.Effect) {
+	target := s.target()
+	if target == "" || s.parent != 0 || s.leaving || s.seek.dial != 0 || now.Before(s.seek.next) {
+		return s, nil
+	}
+	if s.seek.since.IsZero() {
+		s.seek.since = now
+	}
+	for len(s.seek.queue) > 0 {
+		address := s.seek.queue[0]
+		s.seek.queue = s.seek.queue[1:]
+		if address != s.Self.Control && address != "" {
+			return s.dial(now, address)
+		}
+	}
+	return s.consult(now, target)
+}
+
+func (s State) dial(now time.Time, address string) (State, []cyclam.Effect) {
+	s.nextLink++
+	s.seek.dial = s.nextLink
+	s = s.withLink(link{
+		id:    s.nextLink,
+		heard: now,
+	})
+	return s, []cyclam.Effect{cyclam.OpenLink{
+		Link:    s.nextLink,
+		Address: address,
+	}}
+}
+
+// consult reads the target's claim, or takes it over when it has lapsed.
+func (s State) consult(now time.Time, target cyclam.Role) (State, []cyclam.Effect) {
+	claim, op := s.claims[target].Seek(now, s.seek.known && s.mayTake(now, target))
+	s = s.withClaim(target, claim)
+	s.rand, s.seek.next = s.pause(now, searchPause)
+	effects := s.claimOp(target, claim, op)
+	if op == lease.OpRead && s.seek.failed > 0 {
+		s, effects = s.observeAbove(now, target, effects)
+	}
+	return s, effects
+}
+
+// observeAbove also reads the claims above the target, so that their terms run
+// at the same time as the target's.
+func (s State) observeAbove(now time.Time, target cyclam.Role, effects []cyclam.Effect) (State, []cyclam.Effect) {
+	for _, role := range []cyclam.Role{cyclam.RoleLead, cyclam.RoleRoot} {
+		if role == target {
+			continue
+		}
+		claim, op := s.claims[role].Seek(now, false)
+		s = s.withClaim(role, claim)
+		effects = append(effects, s.claimOp(role, claim, op)...)
+	}
+	return s, effects
+}
+
+func (s State) mayTake(now time.Time, target cyclam.Role) bool {
+	if target != cyclam.RoleRoot || s.Self.Place.Region == s.Tuning.PlatformRegion {
+		return true
+	}
+	return now.Sub(s.seek.since) >= foreignRootTerms*s.Tuning.Term
+}
+
+func (s State) pause(now time.Time, span time.Duration) (cyclam.Rand, time.Time) {
+	rand, wait := s.rand.Jitter(span)
+	return rand, now.Add(wait)
+}
+
+func (s State) claimOp(role cyclam.Role, claim lease.Claim, op lease.Op) []cyclam.Effect {
+	switch op {
+	case lease.OpRead:
+		return []cyclam.Effect{cyclam.ReadClaim{
+			Role: role,
+			Name: claim.Name,
+		}}
+	case lease.OpWrite:
+		return []cyclam.Effect{cyclam.WriteClaim{
+			Role:   role,
+			Object: claim.Object(),
+		}}
+	default:
+		return nil
+	}
+}
+
+// renew keeps the claims that this node holds.
+func (s State) renew(now time.Time) (State, []cyclam.Effect) {
+	var effects []cyclam.Effect
+	for _, role := range []cyclam.Role{cyclam.RoleHub, cyclam.RoleLead, cyclam.RoleRoot} {
+		claim, op := s.claims[role].Next(now)
+		if op == lease.OpNone {
+			continue
+		}
+		s = s.withClaim(role, claim)
+		effects = append(effects, s.claimOp(role, claim, op)...)
+	}
+	return s, effects
+}
+
+// claimRead takes in what a claim object says.
+func (s State) claimRead(e cyclam.ClaimRead) (State, []cyclam.Effect) {
+	before := s.Role()
+	claim, learnt := s.claims[e.Role].Read(e.Now, e.Object, e.Err)
+	s = s.withClaim(e.Role, claim)
+	s, effects := s.roleChanged(before)
+	if e.Role != s.target() || s.parent != 0 {
+		return s, effects
+	}
+	if !learnt {
+		return s.fallBack(e.Now, effects)
+	}
+	s.seek.known = true
+	holder, held := claim.Holder()
+	if held && !claim.Lapsed(e.Now) && holder.Holder.Instance != s.Self.Instance {
+		s.seek.queue = []string{holder.Control}
+	}
+	return s, effects
+}
+
+// claimWritten takes in whether a claim was taken or renewed.
+func (s State) claimWritten(e cyclam.ClaimWritten) (State, []cyclam.Effect) {
+	before := s.Role()
+	claim, op := s.claims[e.Role].Wrote(e.Now, e.Object, e.Err)
+	s = s.withClaim(e.Role, claim)
+	s, effects := s.roleChanged(before)
+	return s, append(effects, s.claimOp(e.Role, claim, op)...)
+}
+
+// roleChanged starts a new search when the node's role, and so its parent's,
+// has changed.
+func (s State) roleChanged(before cyclam.Role) (State, []cyclam.Effect) {
+	after := s.Role()
+	if before == after {
+		return s, nil
+	}
+	effects := []cyclam.Effect{note("role-changed", "from", string(before), "to", string(after))}
+	s.acting = false
+	s.path = nil
+	s.seek = seek{}
+	if s.parent == 0 {
+		return s, effects
+	}
+	return s.leaveParent(effects, "role changed")
+}
+
+func (s State) leaveParent(effects []cyclam.Effect, reason string) (State, []cyclam.Effect) {
+	effects = append(effects, cyclam.CloseLink{
+		Link:   s.parent,
+		Reason: reason,
+	})
+	s.links = s.links.Delete(s.parent)
+	s.parent = 0
+	return s, effects
+}
+
+// fallBack looks for a parent among the peers that are known while the platform
+// does not answer. Only peers earlier in name order are tried, so that the
+// first one alive becomes the top of its part.
+func (s State) fallBack(now time.Time, effects []cyclam.Effect) (State, []cyclam.Effect) {
+	s.rand, s.seek.next = s.pause(now, fallbackPause)
+	candidates := s.earlierPeers()
+	if len(candidates) == 0 {
+		s.seek.queue = slices.Clone(s.Tuning.Seeds)
+		if s.Conf.Version > 0 && !s.acting {
+			s.acting = true
+			effects = append(effects, note("acting-top", "instance", s.Self.Instance))
+		}
+		return s, effects
+	}
+	for range fallbackTries {
+		var i int
+		s.rand, i = s.rand.IntN(len(candidates))
+		s.seek.queue = append(slices.Clip(s.seek.queue), candidates[i].Control)
+	}
+	return s, effects
+}
+
+// earlierPeers returns the live peers that precede this one: of its own data
+// centre if there are any, else of its region, else of all.
+func (s State) earlierPeers() []cyclam.Endpoint {
+	var centre, region, all []cyclam.Endpoint
+	for _, e := range s.Roster.All() {
+		if e.State == cyclam.EndpointLeaving || strings.Compare(string(e.Instance), string(s.Self.Instance)) >= 0 {
+			continue
+		}
+		all = append(all, e)
+		if e.Place.Region == s.Self.Place.Region {
+			region = append(region, e)
+		}
+		if e.Place == s.Self.Place {
+			centre = append(centre, e)
+		}
+	}
+	switch {
+	case len(centre) > 0:
+		return centre
+	case len(region) > 0:
+		return region
+	default:
+		return all
+	}
+}
