Fence writes of versions by token and digest; ask for the accepted version at start

Cause, found by reading: the answer to a write of an earlier term as root could be taken for the answer to a later one with the same version number, and a lost answer was settled by writer and version alone, though the same process can have written another content in an earlier term. Both now compare the token or the digest. A restarted node could also serve an older version taken from a peer that lags: it now reads the accepted version once and serves nothing below it. Statuses are written only when they change, as a new root would otherwise write one for every object.

--- a/accept/accept.go
+++ b/accept/accept.go
@@ -6,7 +6,6 @@
 package accept
 
 import (
-	"strings"
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
@@ -44,7 +43,10 @@
 	watching bool
 	intake   conf.Intake
 	pending  pending
-	fleet    fleet
+	// token tells the answer to the latest write from answers to earlier ones.
+	token uint64
+	fleet fleet
+	ruled ledger
 }
 
 // pending is a version that is being written.
@@ -59,9 +61,17 @@
 	return State{
 		Self:   self,
 		intake: conf.NewIntake(),
+		ruled:  newLedger(),
 	}
 }
 
+// reset forgets everything but the token, which must never repeat.
+func (s State) reset() State {
+	fresh := New(s.Self)
+	fresh.token = s.token
+	return fresh
+}
+
 // Active reports whether the node acts as the root.
 func (s State) Active() bool { return s.phase != phaseIdle }
 
@@ -72,17 +82,25 @@
 	Effects []cyclam.Effect
 }
 
+func (s State) result(held conf.State, effects ...cyclam.Effect) Result {
+	return Result{
+		State:   s,
+		Conf:    held,
+		Effects: effects,
+	}
+}
+
 // WithRole starts or stops acceptance as the root claim is won or lost.
 func (s State) WithRole(root bool, held conf.State) (State, []cyclam.Effect) {
 	switch {
 	case root && s.phase == phaseIdle:
-		s = New(s.Self)
+		s = s.reset()
 		s.phase = phaseHead
 		return s, []cyclam.Effect{cyclam.ReadHead{
 			Held: held.Version,
 		}}
 	case !root && s.phase != phaseIdle:
-		return New(s.Self), nil
+		return s.reset(), nil
 	default:
 		return s, nil
 	}
@@ -91,10 +109,7 @@
 // Reduce folds one event into the state and the configuration held.
 func Reduce(s State, held conf.State, event cyclam.Event) Result {
 	if s.phase == phaseIdle {
-		return Result{
-			State: s,
-			Conf:  held,
-		}
+		return s.result(held)
 	}
 	switch e := event.(type) {
 	case cyclam.HeadRead:
@@ -108,26 +123,17 @@
 	case cyclam.Tick:
 		return s.tick(held, e.Now)
 	default:
-		return Result{
-			State: s,
-			Conf:  held,
-		}
+		return s.result(held)
 	}
 }
 
 // tick tries again what the platform did not answer.
 func (s State) tick(held conf.State, now time.Time) Result {
 	if s.retry.IsZero() || now.Before(s.retry) {
-		return Result{
-			State: s,
-			Conf:  held,
-		}
+		return s.result(held)
 	}
 	s.retry = time.Time{}
-	result := Result{
-		State: s,
-		Conf:  held,
-	}
+	result := s.result(held)
 	switch {
 	case s.phase == phaseHead || s.phase == phaseUnsure:
 		result.Effects = []cyclam.Effect{cyclam.ReadHead{
@@ -147,18 +153,11 @@
 // headRead learns which version is the accepted one.
 func (s State) headRead(held conf.State, e cyclam.HeadRead) Result {
 	if s.phase != phaseHead && s.phase != phaseUnsure {
-		return Result{
-			State: s,
-			Conf:  held,
-		}
+		return s.result(held)
 	}
 	if e.Err != nil && !errors.Is(e.Err, cyclam.ErrNotFound) {
 		s.retry = e.Now.Add(retryPause)
-		return Result{
-			State:   s,
-			Conf:    held,
-			Effects: []cyclam.Effect{failed("read-head", e.Err)},
-		}
+		return s.result(held, failed("read-head", e.Err))
 	}
 	if s.phase == phaseUnsure {
 		return s.resolved(held, e)
@@ -169,42 +168,29 @@
 // follow adopts the head, whoever wrote it, and reads the objects anew.
 func (s State) follow(held conf.State, e cyclam.HeadRead) Result {
 	s.revision = e.Revision
-	var effects []cyclam.Effect
-	if e.Snapshot.Version > held.Version {
+	if e.Head.Version > held.Version {
 		next, err := held.WithSnapshot(e.Snapshot)
 		if err != nil {
 			s.retry = e.Now.Add(retryPause)
 			s.phase = phaseHead
-			return Result{
-				State:   s,
-				Conf:    held,
-				Effects: []cyclam.Effect{failed("apply-head", err)},
-			}
+			return s.result(held, failed("apply-head", err))
 		}
 		held = next
 	}
 	s.phase = phaseList
-	return Result{
-		State:   s,
-		Conf:    held,
-		Effects: append(effects, cyclam.ListObjects{}),
-	}
+	return s.result(held, cyclam.ListObjects{})
 }
 
 // resolved settles a write whose answer was lost or that met a conflict: the
 // head itself says whether this process wrote it.
 func (s State) resolved(held conf.State, e cyclam.HeadRead) Result {
 	p := s.pending.state
-	if e.Head.Writer == s.Self && e.Head.Version == p.Version {
-		return s.accepted(held, e.Now, e.Revision)
+	if e.Head.Version == p.Version && e.Head.Result == p.Set.Digest().String() {
+		return s.accepted(e.Now, e.Revision)
 	}
 	if e.Revision == s.revision {
 		s.phase = phaseWriting
-		return Result{
-			State:   s,
-			Conf:    held,
-			Effects: []cyclam.Effect{s.write()},
-		}
+		return s.result(held, s.write())
 	}
 	s.pending = pending{}
 	return s.follow(held, e)
@@ -212,6 +198,7 @@
 
 func (s State) write() cyclam.Effect {
 	return cyclam.WriteVersion{
+		Token:    s.token,
 		Snapshot: s.pending.state.Snapshot(),
 		Writer:   s.Self,
 		Revision: s.revision,
@@ -221,20 +208,14 @@
 // listed takes in all objects and starts to watch them.
 func (s State) listed(held conf.State, e cyclam.ObjectsListed) Result {
 	if s.phase != phaseList {
-		return Result{
-			State: s,
-			Conf:  held,
-		}
+		return s.result(held)
 	}
 	if e.Err != nil {
 		s.retry = e.Now.Add(retryPause)
-		return Result{
-			State:   s,
-			Conf:    held,
-			Effects: []cyclam.Effect{failed("list-objects", e.Err)},
-		}
+		return s.result(held, failed("list-objects", e.Err))
 	}
 	s.intake = conf.NewIntake().WithList(e.List.Objects, held.Set)
+	s.ruled = newLedger().withList(e.List.Objects)
 	s.watched = e.List.Revision
 	s.phase = phaseReady
 	var effects []cyclam.Effect
@@ -244,7 +225,7 @@
 			From: s.watched,
 		})
 	}
-	return s.decide(held, e.Now, effects)
+	return s.decide(held, effects)
 }
 
 // changed takes in what a watch saw.
@@ -255,11 +236,7 @@
 		return s.relist(held, e.Now)
 	case e.Err != nil:
 		s.retry = e.Now.Add(retryPause)
-		return Result{
-			State:   s,
-			Conf:    held,
-			Effects: []cyclam.Effect{failed("watch-objects", e.Err)},
-		}
+		return s.result(held, failed("watch-objects", e.Err))
 	}
 	s.watching = true
 	if e.From != s.watched {
@@ -275,7 +252,7 @@
 		s.intake = s.intake.WithEvent(event)
 	}
 	s.watched = e.Changes.Revision
-	return s.decide(held, e.Now, []cyclam.Effect{cyclam.WatchObjects{
+	return s.decide(held, []cyclam.Effect{cyclam.WatchObjects{
 		From: s.watched,
 	}})
 }
@@ -285,36 +262,22 @@
 func (s State) relist(held conf.State, now time.Time) Result {
 	if s.phase != phaseReady {
 		s.retry = now.Add(retryPause)
-		return Result{
-			State: s,
-			Conf:  held,
-		}
+		return s.result(held)
 	}
 	s.phase = phaseList
-	return Result{
-		State:   s,
-		Conf:    held,
-		Effects: []cyclam.Effect{cyclam.ListObjects{}},
-	}
+	return s.result(held, cyclam.ListObjects{})
 }
 
 // decide judges what has changed, and writes a version if anything is new.
-func (s State) decide(held conf.State, now time.Time, effects []cyclam.Effect) Result {
+func (s State) decide(held conf.State, effects []cyclam.Effect) Result {
 	if s.phase != phaseReady {
-		return Result{
-			State:   s,
-			Conf:    held,
-			Effects: effects,
-		}
+		return s.result(held, effects...)
 	}
 	intake, set, rulings := s.intake.Decide(held.Set)
 	if set.Digest() == held.Set.Digest() {
 		s.intake = intake
-		return Result{
-			State:   s,
-			Conf:    held,
-			Effects: append(effects, statuses(rulings, held.Version)...),
-		}
+		s, more := s.statuses(rulings, held.Version)
+		return s.result(held, append(effects, more...)...)
 	}
 	keys := make([]cyclam.Key, 0, len(rulings))
 	for _, r := range rulings {
@@ -329,12 +292,9 @@
 		Result:  set.Digest(),
 	})
 	if err != nil {
-		return Result{
-			State:   s,
-			Conf:    held,
-			Effects: append(effects, failed("build-version", err)),
-		}
+		return s.result(held, append(effects, failed("build-version", err))...)
 	}
+	s.token++
 	s.pending = pending{
 		state:   next,
 		intake:  intake,
@@ -342,23 +302,16 @@
 	}
 	s.phase = phaseWriting
 	s.intake = intake
-	return Result{
-		State:   s,
-		Conf:    held,
-		Effects: append(effects, s.write()),
-	}
+	return s.result(held, append(effects, s.write())...)
 }
 
 // written takes in the result of writing a version.
 func (s State) written(held conf.State, e cyclam.VersionWritten) Result {
-	if s.phase != phaseWriting || e.Version != s.pending.state.Version {
-		return Result{
-			State: s,
-			Conf:  held,
-		}
+	if s.phase != phaseWriting || e.Token != s.token {
+		return s.result(held)
 	}
 	if e.Err == nil {
-		return s.accepted(held, e.Now, e.Revision)
+		return s.accepted(e.Now, e.Revision)
 	}
 	s.phase = phaseUnsure
 	return Result{
@@ -374,7 +327,7 @@
 }
 
 // accepted puts the written version in force and judges what came meanwhile.
-func (s State) accepted(held conf.State, now time.Time, revision uint64) Result {
+func (s State) accepted(now time.Time, revision uint64) Result {
 	p := s.pending
 	s.pending = pending{}
 	s.revision = revision
@@ -384,8 +337,9 @@
 		Event:  "version-accepted",
 		Fields: []any{"version", p.state.Version, "objects", len(p.rulings)},
 	}}
-	effects = append(effects, statuses(p.rulings, p.state.Version)...)
-	return s.decide(p.state, now, effects)
+	s, more := s.statuses(p.rulings, p.state.Version)
+	effects = append(effects, more...)
+	return s.decide(p.state, effects)
 }
 
 func failed(step string, err error) cyclam.Effect {
@@ -394,44 +348,3 @@
 		Fields: []any{"step", step, "error", err},
 	}
 }
-
-// ObjectStatus is the value of the status object of an operator's object.
-type ObjectStatus struct {
-	Object   string          `json:"object"`
-	Revision uint64          `json:"revision"`
-	State    conf.Decision   `json:"state"`
-	Version  cyclam.Version  `json:"version"`
-	Problems []StatusProblem `json:"problems,omitempty"`
-}
-
-// StatusProblem is one reason for which an object was refused.
-type StatusProblem struct {
-	Object string `json:"object"`
-	Path   string `json:"path"`
-	Reason string `json:"reason"`
-}
-
-// StatusName returns the name of the status object of an operator's object.
-func StatusName(key cyclam.Key) string {
-	return strings.ReplaceAll(key.String(), "/", ".")
-}
-
-func statuses(rulings []conf.Ruling, version cyclam.Version) []cyclam.Effect {
-	var effects []cyclam.Effect
-	for _, r := range rulings {
-		status := ObjectStatus{
-			Object:   r.Object.String(),
-			Revision: r.Revision,
-			State:    r.Decision,
-			Version:  version,
-		}
-		for _, p := range r.Problems {
-			status.Problems = append(status.Problems, StatusProblem(p))
-		}
-		effects = append(effects, cyclam.WriteStatus{
-			Name:  StatusName(r.Object),
-			Value: status,
-		})
-	}
-	return effects
-}
--- a/admit/admit.go
+++ b/admit/admit.go
@@ -123,13 +123,13 @@
 	return max(1, int(share*float64(s.Tuning.Slots)))
 }
 
-// Arrived decides on an attempt; allowed says whether the configuration lets
-// the service be served here.
-func (s State) Arrived(e cyclam.WorkArrived, allowed bool) (State, []cyclam.Effect) {
+// Arrived decides on an attempt; barrier is why the node as a whole must not
+// start it, or empty.
+func (s State) Arrived(e cyclam.WorkArrived, barrier cyclam.Reason) (State, []cyclam.Effect) {
 	if verdict, seen := s.seen(e.Attempt); seen {
 		return s, finish(e.Attempt, verdict)
 	}
-	if verdict, refused := s.refusal(e, allowed); refused {
+	if verdict, refused := s.refusal(e, barrier); refused {
 		s = s.remember(e.Attempt, record{
 			phase: phaseRefused,
 		})
@@ -182,7 +182,7 @@
 }
 
 // refusal says why an attempt must not start.
-func (s State) refusal(e cyclam.WorkArrived, allowed bool) (cyclam.Verdict, bool) {
+func (s State) refusal(e cyclam.WorkArrived, barrier cyclam.Reason) (cyclam.Verdict, bool) {
 	switch {
 	case e.Target != s.Self:
 		return notRun(cyclam.ReasonWrongTarget, 0), true
@@ -190,8 +190,8 @@
 		return notRun(cyclam.ReasonExpired, 0), true
 	case s.draining:
 		return notRun(cyclam.ReasonDraining, retryFloor), true
-	case !allowed:
-		return notRun(cyclam.ReasonPlacement, 0), true
+	case barrier != "":
+		return notRun(barrier, 0), true
 	case s.down:
 		return notRun(cyclam.ReasonUpstreamDown, time.Second), true
 	case s.running >= s.limit(e.Now) && len(s.queue) >= s.Tuning.Queue:
--- a/conf/chunk.go
+++ b/conf/chunk.go
@@ -95,7 +95,7 @@
 	head := cyclam.Head{
 		Version: snap.Version,
 		Writer:  writer,
-		Result:  hex.EncodeToString(snap.Result[:]),
+		Result:  snap.Result.String(),
 	}
 	for _, object := range chunks {
 		head.Chunks = append(head.Chunks, object.Name)
--- a/delta.go
+++ b/delta.go
@@ -1,8 +1,13 @@
 package cyclam
 
+import "encoding/hex"
+
 // Digest is a checksum over a whole set of resources, in any order.
 type Digest [16]byte
 
+// String returns the digest in hex.
+func (d Digest) String() string { return hex.EncodeToString(d[:]) }
+
 // Delta turns the set at version From into the set at version To.
 type Delta struct {
 	From    Version
--- a/effect.go
+++ b/effect.go
@@ -38,6 +38,9 @@
 	Revision uint64
 }
 
+// ReadVersion reads which version is the accepted one, without its content.
+type ReadVersion struct{}
+
 // ReadHead reads the accepted version, and its content if newer than Held.
 type ReadHead struct {
 	Held Version
@@ -46,12 +49,14 @@
 // WriteVersion writes the content of a version and then, conditionally on
 // Revision, the head that makes it the accepted one.
 type WriteVersion struct {
+	// Token comes back with the result.
+	Token    uint64
 	Snapshot Snapshot
 	Writer   Identity
 	Revision uint64
 }
 
-// ListObjects lists the operators' objects.
+// ListObjects lists the operators' objects and their statuses.
 type ListObjects struct{}
 
 // WatchObjects waits for changes of the operators' objects.
@@ -135,6 +140,7 @@
 func (ReadClaim) effect()     {}
 func (WriteClaim) effect()    {}
 func (DropClaim) effect()     {}
+func (ReadVersion) effect()   {}
 func (ReadHead) effect()      {}
 func (WriteVersion) effect()  {}
 func (ListObjects) effect()   {}
--- a/egress/egress.go
+++ b/egress/egress.go
@@ -84,9 +84,6 @@
 
 // Arrived decides on a new call.
 func (s State) Arrived(v View, e cyclam.CallArrived) (State, []cyclam.Effect) {
-	if v.Conf.Version == 0 {
-		return s, finish(e.Call, notRun(cyclam.ReasonNoConfig, retryLater))
-	}
 	route, ok := v.Conf.Set.Match(e.Path)
 	if !ok {
 		return s, finish(e.Call, notRun(cyclam.ReasonNoRoute, 0))
--- a/event.go
+++ b/event.go
@@ -56,6 +56,13 @@
 	Err    error
 }
 
+// VersionRead is the result of ReadVersion.
+type VersionRead struct {
+	Stamp
+	Version Version
+	Err     error
+}
+
 // HeadRead is the result of ReadHead. Snapshot is set when the head's version
 // is newer than the one asked with.
 type HeadRead struct {
@@ -69,6 +76,7 @@
 // VersionWritten is the result of WriteVersion.
 type VersionWritten struct {
 	Stamp
+	Token    uint64
 	Version  Version
 	Revision uint64
 	Err      error
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -74,7 +74,10 @@
 	switch e := event.(type) {
 	case cyclam.CallArrived:
 		if s.leaving && !e.Now.Before(s.leaveAt) {
-			return s, []cyclam.Effect{refusal(e.Call)}
+			return s, []cyclam.Effect{refusal(e.Call, cyclam.ReasonDraining)}
+		}
+		if !s.Tree.Serving(e.Now) {
+			return s, []cyclam.Effect{refusal(e.Call, cyclam.ReasonNoConfig)}
 		}
 		s.Egress, effects = s.Egress.Arrived(s.view(), e)
 	case cyclam.AttemptEnded:
@@ -82,7 +85,7 @@
 	case cyclam.CancelAnswered:
 		s.Egress, effects = s.Egress.Confirmed(s.view(), e)
 	case cyclam.WorkArrived:
-		s.Admit, effects = s.Admit.Arrived(e, s.mayServe(e))
+		s.Admit, effects = s.Admit.Arrived(e, s.barrier(e))
 	case cyclam.WorkEnded:
 		s.Admit, effects = s.Admit.Ended(e)
 	case cyclam.CancelArrived:
@@ -100,23 +103,32 @@
 // Leaving reports whether a planned stop has begun.
 func (s State) Leaving() bool { return s.leaving }
 
-// refusal answers a call that came too late to a stopping node.
-func refusal(call cyclam.CallID) cyclam.Effect {
+// refusal answers a call that this node can't serve for now.
+func refusal(call cyclam.CallID, reason cyclam.Reason) cyclam.Effect {
 	return cyclam.FinishCall{
 		Call: call,
 		Verdict: cyclam.Verdict{
 			Outcome:    cyclam.NotRun,
-			Reason:     cyclam.ReasonDraining,
+			Reason:     reason,
 			RetryAfter: time.Second,
 		},
 	}
 }
 
-// mayServe checks placement once more where the work would start, by the
-// configuration in force here.
-func (s State) mayServe(e cyclam.WorkArrived) bool {
+// barrier says why an attempt must not start here, or nothing. Placement is
+// checked once more, by the configuration in force here.
+func (s State) barrier(e cyclam.WorkArrived) cyclam.Reason {
 	self := s.Tree.Self
-	return e.Service == self.Service && s.Tree.Conf.Set.Allows(e.Service, self.Place) && !s.Tree.Superseded()
+	switch {
+	case s.Tree.Superseded(), e.Service != self.Service:
+		return cyclam.ReasonWrongTarget
+	case !s.Tree.Serving(e.Now):
+		return cyclam.ReasonNoConfig
+	case !s.Tree.Conf.Set.Allows(e.Service, self.Place):
+		return cyclam.ReasonPlacement
+	default:
+		return ""
+	}
 }
 
 // control folds an event of the control plane.
--- a/node/admin.go
+++ b/node/admin.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
 	"github.com/cyclamensaddle/cyclam/stats"
@@ -17,6 +18,7 @@
 	Role        cyclam.Role           `json:"role"`
 	Path        []cyclam.InstanceName `json:"path"`
 	Attached    bool                  `json:"attached"`
+	Serving     bool                  `json:"serving"`
 	Children    int                   `json:"children"`
 	Endpoints   int                   `json:"endpoints"`
 	Running     int                   `json:"running"`
@@ -37,6 +39,7 @@
 		Role:        s.Tree.Role(),
 		Path:        s.Tree.Path(),
 		Attached:    s.Tree.Attached(),
+		Serving:     s.Tree.Serving(time.Now()),
 		Children:    s.Tree.Children(),
 		Endpoints:   s.Tree.Roster.Live(),
 		Running:     s.Admit.Running(),
@@ -63,7 +66,7 @@
 		ctx.SetContentType("application/json")
 		ctx.SetBody(data)
 	case "/ready":
-		if s := n.Status(); s.Version == 0 || s.Leaving {
+		if s := n.Status(); !s.Serving || s.Leaving {
 			ctx.Error("not ready", fasthttp.StatusServiceUnavailable)
 		}
 	default:
--- a/node/platform.go
+++ b/node/platform.go
@@ -24,6 +24,8 @@
 		go n.writeClaim(e)
 	case cyclam.DropClaim:
 		go n.dropClaim(e)
+	case cyclam.ReadVersion:
+		go n.readVersion()
 	case cyclam.ReadHead:
 		go n.readHead(e)
 	case cyclam.WriteVersion:
@@ -81,6 +83,15 @@
 	}
 }
 
+func (n *Node) readVersion() {
+	head, _, err := n.head()
+	n.dispatch(cyclam.VersionRead{
+		Stamp:   stamp(),
+		Version: head.Version,
+		Err:     err,
+	})
+}
+
 func (n *Node) readHead(e cyclam.ReadHead) {
 	n.chunks.forget()
 	event := cyclam.HeadRead{}
@@ -128,6 +139,7 @@
 	revision, err := n.putVersion(e)
 	n.dispatch(cyclam.VersionWritten{
 		Stamp:    stamp(),
+		Token:    e.Token,
 		Version:  e.Snapshot.Version,
 		Revision: revision,
 		Err:      err,
@@ -195,7 +207,7 @@
 }
 
 func (n *Node) listObjects() {
-	list, err := n.Platform.List(n.ctx, cyclam.OperatorKinds()...)
+	list, err := n.Platform.List(n.ctx, append(cyclam.OperatorKinds(), cyclam.KindStatus)...)
 	n.dispatch(cyclam.ObjectsListed{
 		Stamp: stamp(),
 		List:  list,
--- a/tree/reduce.go
+++ b/tree/reduce.go
@@ -23,6 +23,8 @@
 		return s.closed(e.Now, e.Link, errorText(e.Err))
 	case cyclam.LinkReceived:
 		return s.received(e)
+	case cyclam.VersionRead:
+		return s.floorRead(e), nil
 	case cyclam.ClaimRead:
 		return s.claimRead(e)
 	case cyclam.ClaimWritten:
@@ -46,6 +48,7 @@
 	}
 	s.ticked = now
 	steps := []func(State, time.Time) (State, []cyclam.Effect){
+		State.askFloor,
 		State.renew,
 		State.dropSilent,
 		State.declareLost,
--- a/tree/tree.go
+++ b/tree/tree.go
@@ -78,6 +78,7 @@
 	reported cyclam.Report
 	rand     cyclam.Rand
 	nextLink cyclam.LinkID
+	floor    floor
 	ticked   time.Time
 	beaten   time.Time
 	flushed  time.Time
@@ -104,7 +105,10 @@
 		pending:  immutable.NewList[news](),
 		rand:     cyclam.Rand(self.Incarnation),
 		nextLink: firstOwnLink,
-		ticked:   now,
+		floor: floor{
+			until: now.Add(floorWait),
+		},
+		ticked: now,
 	}
 	for _, role := range []cyclam.Role{cyclam.RoleHub, cyclam.RoleLead, cyclam.RoleRoot} {
 		s.claims[role] = lease.Claim{
