Proofs: histories over several nodes' reducers against an oracle; five faults mended

Found by the histories (test and rapid seed), each red before and green after: - TestEverything 2146: a watch that broke while a write was unsure was never taken up again, since both waits shared one time. They have their own now. - TestConfiguration 904: a lead that had joined its own hub while the platform was down stayed there. A parent chosen without the platform is left once the platform answers. - TestRequests 5887: work waiting for a slot was started after a rule that forbids it had come into force. It is refused when the rule comes into force. - TestEverything 37, TestConfiguration 2212: the address in a dead holder's claim belonged to a new process, which took the lead as a child. A child now says which role the receiver has to hold. - TestRequests 10154: a stopping node that was paused exited on waking before it saw the calls that had come in. It waits once more.

--- a/accept/accept.go
+++ b/accept/accept.go
@@ -36,8 +36,11 @@
 type State struct {
 	Self cyclam.Identity
 
-	phase    phase
-	retry    time.Time
+	phase phase
+	// retry is when the platform is asked again for what this phase waits for.
+	retry time.Time
+	// rewatch is when a broken watch is taken up again.
+	rewatch  time.Time
 	revision uint64
 	watched  uint64
 	watching bool
@@ -129,25 +132,33 @@
 
 // tick tries again what the platform did not answer.
 func (s State) tick(held conf.State, now time.Time) Result {
-	if s.retry.IsZero() || now.Before(s.retry) {
-		return s.result(held)
+	var effects []cyclam.Effect
+	if !s.retry.IsZero() && !now.Before(s.retry) {
+		s.retry = time.Time{}
+		effects = s.askAgain(held)
 	}
-	s.retry = time.Time{}
-	result := s.result(held)
-	switch {
-	case s.phase == phaseHead || s.phase == phaseUnsure:
-		result.Effects = []cyclam.Effect{cyclam.ReadHead{
-			Held: held.Version,
-		}}
-	case s.phase == phaseList:
-		result.Effects = []cyclam.Effect{cyclam.ListObjects{}}
-	case !s.watching:
-		result.State.watching = true
-		result.Effects = []cyclam.Effect{cyclam.WatchObjects{
+	if !s.rewatch.IsZero() && !now.Before(s.rewatch) {
+		s.rewatch = time.Time{}
+		s.watching = true
+		effects = append(effects, cyclam.WatchObjects{
 			From: s.watched,
+		})
+	}
+	return s.result(held, effects...)
+}
+
+// askAgain repeats the question whose answer this phase waits for.
+func (s State) askAgain(held conf.State) []cyclam.Effect {
+	switch s.phase {
+	case phaseHead, phaseUnsure:
+		return []cyclam.Effect{cyclam.ReadHead{
+			Held: held.Version,
 		}}
+	case phaseList:
+		return []cyclam.Effect{cyclam.ListObjects{}}
+	default:
+		return nil
 	}
-	return result
 }
 
 // headRead learns which version is the accepted one.
@@ -235,7 +246,7 @@
 	case errors.Is(e.Err, cyclam.ErrCompacted):
 		return s.relist(held, e.Now)
 	case e.Err != nil:
-		s.retry = e.Now.Add(retryPause)
+		s.rewatch = e.Now.Add(retryPause)
 		return s.result(held, failed("watch-objects", e.Err))
 	}
 	s.watching = true
@@ -261,7 +272,7 @@
 // way is settled first.
 func (s State) relist(held conf.State, now time.Time) Result {
 	if s.phase != phaseReady {
-		s.retry = now.Add(retryPause)
+		s.rewatch = now.Add(retryPause)
 		return s.result(held)
 	}
 	s.phase = phaseList
--- a/admit/admit.go
+++ b/admit/admit.go
@@ -362,6 +362,19 @@
 	return s
 }
 
+// Evicted refuses everything that waits, as the node must not start it any more.
+func (s State) Evicted(reason cyclam.Reason) (State, []cyclam.Effect) {
+	var effects []cyclam.Effect
+	for len(s.queue) > 0 {
+		first := s.queue[0]
+		s.queue = s.queue[1:]
+		var more []cyclam.Effect
+		s, more = s.refuse(first.attempt, notRun(reason, 0))
+		effects = append(effects, more...)
+	}
+	return s, effects
+}
+
 // Tick refuses what has waited too long, opens slots, and forgets old attempts.
 func (s State) Tick(now time.Time) (State, []cyclam.Effect) {
 	s, effects := s.advance(now)
--- a/codec/decode.go
+++ b/codec/decode.go
@@ -78,6 +78,7 @@
 	return cyclam.Hello{
 		Self:    self,
 		Role:    cyclam.Role(m.GetRole()),
+		Want:    cyclam.Role(m.GetWant()),
 		Version: cyclam.Version(m.GetVersion()),
 		Sums:    m.GetSums(),
 	}, nil
--- a/codec/encode.go
+++ b/codec/encode.go
@@ -13,6 +13,7 @@
 		hello := &wire.Hello{
 			Self:    encodeEndpoint(m.Self),
 			Role:    string(m.Role),
+			Want:    string(m.Want),
 			Version: uint64(m.Version),
 			Sums:    m.Sums,
 		}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -35,6 +35,7 @@
 	health   health
 	leaving  bool
 	leaveAt  time.Time
+	ticked   time.Time
 	finished bool
 }
 
@@ -85,7 +86,7 @@
 	case cyclam.CancelAnswered:
 		s.Egress, effects = s.Egress.Confirmed(s.view(), e)
 	case cyclam.WorkArrived:
-		s.Admit, effects = s.Admit.Arrived(e, s.barrier(e))
+		s.Admit, effects = s.Admit.Arrived(e, s.barrier(e.Now, e.Service))
 	case cyclam.WorkEnded:
 		s.Admit, effects = s.Admit.Ended(e)
 	case cyclam.CancelArrived:
@@ -115,16 +116,16 @@
 	}
 }
 
-// barrier says why an attempt must not start here, or nothing. Placement is
-// checked once more, by the configuration in force here.
-func (s State) barrier(e cyclam.WorkArrived) cyclam.Reason {
+// barrier says why work for a service must not start here, or nothing. Placement
+// is checked once more, by the configuration in force here.
+func (s State) barrier(now time.Time, service cyclam.ServiceName) cyclam.Reason {
 	self := s.Tree.Self
 	switch {
-	case s.Tree.Superseded(), e.Service != self.Service:
+	case s.Tree.Superseded(), service != self.Service:
 		return cyclam.ReasonWrongTarget
-	case !s.Tree.Serving(e.Now):
+	case !s.Tree.Serving(now):
 		return cyclam.ReasonNoConfig
-	case !s.Tree.Conf.Set.Allows(e.Service, self.Place):
+	case !s.Tree.Conf.Set.Allows(service, self.Place):
 		return cyclam.ReasonPlacement
 	default:
 		return ""
@@ -142,6 +143,8 @@
 	effects = append(effects, result.Effects...)
 	s.Tree, more = s.Tree.Adopt(result.Conf)
 	effects = append(effects, more...)
+	s, more = s.evict(event.At())
+	effects = append(effects, more...)
 	if tick, ok := event.(cyclam.Tick); ok {
 		s, more = s.tick(tick.Now)
 		effects = append(effects, more...)
@@ -149,6 +152,20 @@
 	return s, effects
 }
 
+// evict refuses the work that waits once this node may not start it any more.
+func (s State) evict(now time.Time) (State, []cyclam.Effect) {
+	if s.Admit.Waiting() == 0 {
+		return s, nil
+	}
+	reason := s.barrier(now, s.Tree.Self.Service)
+	if reason == "" {
+		return s, nil
+	}
+	var effects []cyclam.Effect
+	s.Admit, effects = s.Admit.Evicted(reason)
+	return s, effects
+}
+
 func (s State) tick(now time.Time) (State, []cyclam.Effect) {
 	var effects, more []cyclam.Effect
 	s.Admit, effects = s.Admit.Tick(now)
@@ -156,6 +173,7 @@
 		s.Accept, more = s.Accept.Spread(now, s.Tree.Conf.Version, s.Tree.Report())
 		effects = append(effects, more...)
 	}
+	s = s.woken(now)
 	if !s.drained(now) {
 		return s, effects
 	}
@@ -165,6 +183,16 @@
 	})
 }
 
+// woken lets a stopping node that was paused wait once more: calls may have come
+// in meanwhile that it has not seen yet.
+func (s State) woken(now time.Time) State {
+	if s.leaving && now.Sub(s.ticked) > s.Tuning.LeaveWait {
+		s.leaveAt = now.Add(s.Tuning.LeaveWait)
+	}
+	s.ticked = now
+	return s
+}
+
 // drained reports whether a stopping node has nothing left to do.
 func (s State) drained(now time.Time) bool {
 	return s.leaving && !s.finished && !now.Before(s.leaveAt) && !s.Admit.Busy() && !s.Egress.Busy()
--- a/message.go
+++ b/message.go
@@ -12,7 +12,9 @@
 type Hello struct {
 	Self Endpoint
 	// Role is the highest control role that the sender holds.
-	Role    Role
+	Role Role
+	// Want is the role that the receiver has to hold; empty where any will do.
+	Want    Role
 	Version Version
 	Sums    []uint64
 }
--- /dev/null
+++ b/proof/platform_test.go
@@ -0,0 +1,238 @@
+package proof
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/conf"
+	"github.com/cyclamensaddle/cyclam/stand/objapi"
+)
+
+// op runs one platform call: it may never arrive, arrive after the caller gave
+// up, or take effect without its answer being heard.
+func (w *world) op(p *proc, exec func(*objapi.Store) error, reply func(error)) {
+	answered := false
+	answer := func(err error) {
+		if !answered {
+			answered = true
+			reply(err)
+		}
+	}
+	at := w.between(p.state.Tree.Self.Place, place(0))
+	if w.slow {
+		at += time.Second
+	}
+	lost := w.chance(0.03)
+	late := w.chance(0.03)
+	unreachable := w.severed(p.state.Tree.Self.Place, place(0)) || w.down || w.chance(0.02)
+	switch {
+	case unreachable && !late:
+	case late:
+		w.after(rpcTimeout+w.delay(rpcTimeout), func() { _ = exec(w.store) })
+	default:
+		w.after(at, func() {
+			if w.down {
+				return
+			}
+			err := exec(w.store)
+			if !lost {
+				w.after(w.delay(netDelay), func() { answer(err) })
+			}
+		})
+	}
+	w.after(rpcTimeout, func() { answer(cyclam.ErrUnavailable) })
+}
+
+func (w *world) performPlatform(p *proc, effect cyclam.Effect) {
+	ctx := context.Background()
+	var object cyclam.Object
+	switch e := effect.(type) {
+	case cyclam.ReadClaim:
+		w.op(p, func(s *objapi.Store) (err error) {
+			object, err = s.Get(ctx, cyclam.Key{
+				Kind: cyclam.KindClaim,
+				Name: e.Name,
+			})
+			return err
+		}, func(err error) {
+			w.deliver(p, func() cyclam.Event {
+				return cyclam.ClaimRead{
+					Stamp:  stamp(),
+					Role:   e.Role,
+					Object: object,
+					Err:    err,
+				}
+			})
+		})
+	case cyclam.WriteClaim:
+		w.op(p, func(s *objapi.Store) (err error) {
+			object, err = s.Put(ctx, e.Object)
+			return err
+		}, func(err error) {
+			w.deliver(p, func() cyclam.Event {
+				return cyclam.ClaimWritten{
+					Stamp:  stamp(),
+					Role:   e.Role,
+					Object: object,
+					Err:    err,
+				}
+			})
+		})
+	case cyclam.DropClaim:
+		w.op(p, func(s *objapi.Store) error {
+			return s.Delete(ctx, cyclam.Key{
+				Kind: cyclam.KindClaim,
+				Name: e.Name,
+			}, e.Revision)
+		}, func(error) {})
+	case cyclam.ReadVersion:
+		var head cyclam.Head
+		w.op(p, func(s *objapi.Store) (err error) {
+			head, _, err = readHead(s)
+			return err
+		}, func(err error) {
+			w.deliver(p, func() cyclam.Event {
+				return cyclam.VersionRead{
+					Stamp:   stamp(),
+					Version: head.Version,
+					Err:     err,
+				}
+			})
+		})
+	case cyclam.ReadHead:
+		w.readHead(p, e)
+	case cyclam.WriteVersion:
+		w.writeVersion(p, e)
+	case cyclam.ListObjects:
+		var list cyclam.ObjectList
+		w.op(p, func(s *objapi.Store) (err error) {
+			list, err = s.List(ctx, cyclam.OperatorKinds()...)
+			return err
+		}, func(err error) {
+			w.deliver(p, func() cyclam.Event {
+				return cyclam.ObjectsListed{
+					Stamp: stamp(),
+					List:  list,
+					Err:   err,
+				}
+			})
+		})
+	case cyclam.WatchObjects:
+		w.watch(p, e)
+	}
+}
+
+func readHead(s *objapi.Store) (cyclam.Head, uint64, error) {
+	object, err := s.Get(context.Background(), cyclam.Key{
+		Kind: cyclam.KindHead,
+		Name: cyclam.HeadName,
+	})
+	if err != nil {
+		return cyclam.Head{}, 0, err
+	}
+	var head cyclam.Head
+	err = json.Unmarshal(object.Spec, &head)
+	return head, object.Revision, err
+}
+
+func (w *world) readHead(p *proc, e cyclam.ReadHead) {
+	event := cyclam.HeadRead{}
+	w.op(p, func(s *objapi.Store) (err error) {
+		event.Head, event.Revision, err = readHead(s)
+		if err != nil || event.Head.Version <= e.Held {
+			return err
+		}
+		var chunks []cyclam.Object
+		for _, name := range event.Head.Chunks {
+			chunk, err := s.Get(context.Background(), cyclam.Key{
+				Kind: cyclam.KindChunk,
+				Name: name,
+			})
+			if err != nil {
+				return err
+			}
+			chunks = append(chunks, chunk)
+		}
+		event.Snapshot, err = conf.Join(event.Head, chunks)
+		return err
+	}, func(err error) {
+		w.deliver(p, func() cyclam.Event {
+			event.Stamp = stamp()
+			event.Err = err
+			return event
+		})
+	})
+}
+
+// writeVersion writes the chunks and then the head, as separate calls between
+// which the writer can die.
+func (w *world) writeVersion(p *proc, e cyclam.WriteVersion) {
+	done := func(revision uint64, err error) {
+		w.deliver(p, func() cyclam.Event {
+			return cyclam.VersionWritten{
+				Stamp:    stamp(),
+				Token:    e.Token,
+				Version:  e.Snapshot.Version,
+				Revision: revision,
+				Err:      err,
+			}
+		})
+	}
+	chunks := conf.Chunks(e.Snapshot.Resources)
+	spec, _ := json.Marshal(conf.NewHead(e.Snapshot, e.Writer, chunks))
+	head := cyclam.Object{
+		Kind:     cyclam.KindHead,
+		Name:     cyclam.HeadName,
+		Revision: e.Revision,
+		Spec:     spec,
+	}
+	w.op(p, func(s *objapi.Store) error {
+		for _, chunk := range chunks {
+			_, _ = s.Put(context.Background(), chunk)
+		}
+		return nil
+	}, func(err error) {
+		if err != nil || !p.alive {
+			done(0, err)
+			return
+		}
+		var stored cyclam.Object
+		w.op(p, func(s *objapi.Store) (err error) {
+			if stored, err = s.Put(context.Background(), head); err == nil {
+				w.oracle.accept(e.Snapshot)
+			}
+			return err
+		}, func(err error) { done(stored.Revision, err) })
+	})
+}
+
+// watch looks for changes now and then until there are some.
+func (w *world) watch(p *proc, e cyclam.WatchObjects) {
+	deadline := time.Now().Add(3 * time.Second)
+	var look func()
+	look = func() {
+		if !p.alive {
+			return
+		}
+		changes, err := w.store.Watch(context.Background(), e.From, 0, cyclam.OperatorKinds()...)
+		broken := w.down || w.severed(p.state.Tree.Self.Place, place(0)) || w.chance(0.01)
+		if broken {
+			changes, err = cyclam.ObjectChanges{}, cyclam.ErrUnavailable
+		}
+		if err == nil && len(changes.Events) == 0 && time.Now().Before(deadline) {
+			w.after(tickEvery, look)
+			return
+		}
+		w.deliver(p, func() cyclam.Event {
+			return cyclam.ObjectsChanged{
+				Stamp:   stamp(),
+				From:    e.From,
+				Changes: changes,
+				Err:     err,
+			}
+		})
+	}
+	w.after(w.delay(netDelay), look)
+}
--- a/tree/join.go
+++ b/tree/join.go
@@ -24,6 +24,7 @@
 	return s, []cyclam.Effect{send(l, cyclam.Hello{
 		Self:    s.Self,
 		Role:    s.Role(),
+		Want:    s.seek.want,
 		Version: s.Conf.Version,
 		Sums:    s.Roster.Sums()[:],
 	})}
@@ -73,6 +74,8 @@
 		return nil, true
 	case slices.Contains(s.path, m.Self.Instance), m.Self.Instance == s.Self.Instance:
 		return nil, true
+	case m.Want != "" && !s.Holds(m.Want):
+		return nil, true
 	case m.Role == cyclam.RoleHub || m.Role == cyclam.RoleLead:
 		return nil, s.Role() == "" && !s.acting
 	default:
@@ -159,6 +162,7 @@
 	s.parent = l.id
 	s.path = m.Path
 	s.acting = false
+	s.makeshift = s.seek.fallback
 	s.seek = seek{}
 	s.reported = cyclam.Report{}
 	effects := []cyclam.Effect{note("parent-joined", "peer", m.Self.Instance, "depth", len(m.Path))}
@@ -178,7 +182,7 @@
 func (s State) redirected(now time.Time, l link, m cyclam.Redirect) (State, []cyclam.Effect) {
 	s, effects := s.closed(now, l.id, "redirected")
 	if len(m.Try) > 0 {
-		s.seek.queue = append(slices.Clone(m.Try), s.seek.queue...)
+		s.seek.queue = append(anyOf(m.Try), s.seek.queue...)
 		s.seek.next = time.Time{}
 	}
 	return s, append(effects, cyclam.CloseLink{
--- a/tree/loss.go
+++ b/tree/loss.go
@@ -38,12 +38,13 @@
 	path := s.path
 	s.parent = 0
 	s.path = nil
+	s.makeshift = false
 	s.seek = seek{
 		failed: 1,
 	}
 	if len(path) > 1 && s.Role() == "" {
 		if e, ok := s.Roster.Get(path[len(path)-2]); ok {
-			s.seek.queue = []string{e.Control}
+			s.seek.queue = anyOf([]string{e.Control})
 		}
 	}
 	return s, []cyclam.Effect{note("parent-lost", "peer", l.peer.Instance, "reason", reason)}
--- a/tree/seek.go
+++ b/tree/seek.go
@@ -24,13 +24,34 @@
 
 // seek is a search for a parent.
 type seek struct {
-	queue []string
+	queue []candidate
+	// want is the role that the peer being dialled has to hold.
+	want cyclam.Role
 	// known is set once the target's claim has been read in this search.
-	known  bool
-	failed int
-	dial   cyclam.LinkID
-	next   time.Time
-	since  time.Time
+	known bool
+	// fallback is set once the platform has not answered in this search.
+	fallback bool
+	failed   int
+	dial     cyclam.LinkID
+	next     time.Time
+	since    time.Time
+}
+
+// candidate is a peer to try as parent. An address taken from a claim may belong
+// to another process by now, so the peer has to hold the role itself.
+type candidate struct {
+	address string
+	want    cyclam.Role
+}
+
+func anyOf(addresses []string) []candidate {
+	out := make([]candidate, 0, len(addresses))
+	for _, address := range addresses {
+		out = append(out, candidate{
+			address: address,
+		})
+	}
+	return out
 }
 
 // target returns the role whose holder is to feed this node.
@@ -50,32 +71,37 @@
 // search takes the next step towards a parent.
 func (s State) search(now time.Time) (State, []cyclam.Effect) {
 	target := s.target()
-	if target == "" || s.parent != 0 || s.leaving || s.seek.dial != 0 || now.Before(s.seek.next) {
+	if target == "" || s.settled() || s.leaving || s.seek.dial != 0 || now.Before(s.seek.next) {
 		return s, nil
 	}
 	if s.seek.since.IsZero() {
 		s.seek.since = now
 	}
 	for len(s.seek.queue) > 0 {
-		address := s.seek.queue[0]
+		next := s.seek.queue[0]
 		s.seek.queue = s.seek.queue[1:]
-		if address != s.Self.Control && address != "" {
-			return s.dial(now, address)
+		if next.address != s.Self.Control && next.address != "" {
+			return s.dial(now, next)
 		}
 	}
 	return s.consult(now, target)
 }
 
-func (s State) dial(now time.Time, address string) (State, []cyclam.Effect) {
+// settled reports whether the node has the parent that it should have. One that
+// was chosen while the platform did not answer is looked at again.
+func (s State) settled() bool { return s.parent != 0 && !s.makeshift }
+
+func (s State) dial(now time.Time, to candidate) (State, []cyclam.Effect) {
 	s.nextLink++
 	s.seek.dial = s.nextLink
+	s.seek.want = to.want
 	s = s.withLink(link{
 		id:    s.nextLink,
 		heard: now,
 	})
 	return s, []cyclam.Effect{cyclam.OpenLink{
 		Link:    s.nextLink,
-		Address: address,
+		Address: to.address,
 	}}
 }
 
@@ -154,16 +180,24 @@
 	claim, learnt := s.claims[e.Role].Read(e.Now, e.Object, e.Err)
 	s = s.withClaim(e.Role, claim)
 	s, effects := s.roleChanged(before)
-	if e.Role != s.target() || s.parent != 0 {
+	if e.Role != s.target() || s.settled() {
 		return s, effects
 	}
 	if !learnt {
 		return s.fallBack(e.Now, effects)
 	}
+	if s.parent != 0 {
+		s.seek = seek{}
+		s, effects = s.leaveParent(effects, "platform answers again")
+	}
 	s.seek.known = true
+	s.seek.fallback = false
 	holder, held := claim.Holder()
 	if held && !claim.Lapsed(e.Now) && holder.Holder.Instance != s.Self.Instance {
-		s.seek.queue = []string{holder.Control}
+		s.seek.queue = []candidate{{
+			address: holder.Control,
+			want:    e.Role,
+		}}
 	}
 	return s, effects
 }
@@ -201,6 +235,8 @@
 	})
 	s.links = s.links.Delete(s.parent)
 	s.parent = 0
+	s.path = nil
+	s.makeshift = false
 	return s, effects
 }
 
@@ -209,9 +245,13 @@
 // first one alive becomes the top of its part.
 func (s State) fallBack(now time.Time, effects []cyclam.Effect) (State, []cyclam.Effect) {
 	s.rand, s.seek.next = s.pause(now, fallbackPause)
+	if s.parent != 0 {
+		return s, effects
+	}
+	s.seek.fallback = true
 	candidates := s.earlierPeers()
 	if len(candidates) == 0 {
-		s.seek.queue = slices.Clone(s.Tuning.Seeds)
+		s.seek.queue = anyOf(s.Tuning.Seeds)
 		if s.Conf.Version > 0 && !s.acting {
 			s.acting = true
 			effects = append(effects, note("acting-top", "instance", s.Self.Instance))
@@ -221,7 +261,9 @@
 	for range fallbackTries {
 		var i int
 		s.rand, i = s.rand.IntN(len(candidates))
-		s.seek.queue = append(slices.Clip(s.seek.queue), candidates[i].Control)
+		s.seek.queue = append(slices.Clip(s.seek.queue), candidate{
+			address: candidates[i].Control,
+		})
 	}
 	return s, effects
 }
--- a/tree/tree.go
+++ b/tree/tree.go
@@ -85,6 +85,8 @@
 	leaving  bool
 	// acting is set while this node heads a part of the tree without a claim.
 	acting bool
+	// makeshift is set while the parent was chosen without the platform.
+	makeshift bool
 	// superseded is set once another process runs under this instance name.
 	superseded bool
 }
