Swarm and bench: many nodes in one process over an emulated network, and the baseline of a watch per node

A stopping node that was paused for more than two ticks waits once more (TestRequests, red before, green after).

--- /dev/null
+++ b/bench/spread.go
@@ -0,0 +1,405 @@
+// Package bench measures what distribution takes and costs, at several sizes
+// and in several ways.
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/setup"
+	"github.com/cyclamensaddle/cyclam/stand/fleet"
+	"github.com/cyclamensaddle/cyclam/stand/netem"
+	"github.com/cyclamensaddle/cyclam/stand/objapi"
+	"github.com/cyclamensaddle/cyclam/stand/swarm"
+	"github.com/cyclamensaddle/cyclam/store"
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+)
+
+// Spread is one measurement of distribution; set its fields before Run.
+type Spread struct {
+	// Way is tree, or watch for the baseline of a platform watch per node.
+	Way      string
+	Nodes    int
+	Services int
+	// PerSecond is the rate of changes.
+	PerSecond float64
+	Span      time.Duration
+	FanOut    int
+	Flush     time.Duration
+	Beat      time.Duration
+	// Event is what happens in the middle: none, hub-loss, cut, herd or churn.
+	Event string
+	Bin   string
+	Port  int
+
+	mu       sync.Mutex
+	accepted map[cyclam.Version]time.Time
+	inForce  map[cyclam.Version]int
+	times    *hdrhistogram.Histogram
+}
+
+// Row is what a measurement found.
+type Row struct {
+	Way            string  `json:"way"`
+	Nodes          int     `json:"nodes"`
+	Services       int     `json:"services"`
+	PerSecond      float64 `json:"changes-per-second"`
+	FlushMillis    int64   `json:"flush-ms"`
+	FanOut         int     `json:"fan-out"`
+	Event          string  `json:"event"`
+	Changes        int     `json:"changes"`
+	P50Millis      float64 `json:"p50-ms"`
+	P99Millis      float64 `json:"p99-ms"`
+	MaxMillis      float64 `json:"max-ms"`
+	Unfinished     int     `json:"not-everywhere"`
+	BytesPerSecond float64 `json:"bytes-per-node-second"`
+	BytesPerChange float64 `json:"bytes-per-node-change"`
+	LinkPerSecond  float64 `json:"link-bytes-second"`
+	CPUPercent     float64 `json:"cpu-percent-per-node"`
+	MemoryMB       float64 `json:"memory-mb-per-node"`
+	PlatformReads  float64 `json:"platform-reads-second"`
+	PlatformWrites float64 `json:"platform-writes-second"`
+	Watches        int64   `json:"watches-waiting"`
+	JoinMillis     float64 `json:"join-ms"`
+	EventMillis    float64 `json:"event-ms"`
+}
+
+// The delays of the emulated network, one way.
+const (
+	centreDelay = time.Millisecond
+	regionDelay = 12 * time.Millisecond
+)
+
+// Run measures once.
+func (s *Spread) Run(ctx context.Context) (Row, error) {
+	platform := fmt.Sprintf("127.0.0.1:%d", s.Port)
+	stop, err := s.startPlatform(platform)
+	if err != nil {
+		return Row{}, err
+	}
+	defer stop()
+	if err := s.fill(ctx, store.New(platform)); err != nil {
+		return Row{}, err
+	}
+	s.accepted = map[cyclam.Version]time.Time{}
+	s.inForce = map[cyclam.Version]int{}
+	s.times = hdrhistogram.New(1, 600_000_000, 3)
+	if s.Way == "watch" {
+		return s.runWatch(ctx, platform)
+	}
+	return s.runTree(ctx, platform)
+}
+
+func (s *Spread) startPlatform(address string) (func(), error) {
+	cmd := exec.Command(filepath.Join(s.Bin, "stand-platform"), "-listen", address)
+	if err := cmd.Start(); err != nil {
+		return nil, errors.Wrap(err, "start platform")
+	}
+	stop := func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+	}
+	err := fleet.Eventually(5*time.Second, func() error {
+		_, err := fleet.Get("http://" + address + "/stats")
+		return err
+	})
+	return stop, err
+}
+
+// fill declares the services, each with a route and a rule.
+func (s *Spread) fill(ctx context.Context, platform cyclam.Platform) error {
+	for i := range s.Services {
+		for _, o := range resources(i, 1000) {
+			if _, err := platform.Put(ctx, o); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// resources returns the objects of the i-th service.
+func resources(i int, timeoutMillis int) []cyclam.Object {
+	name := fmt.Sprintf("service-%04d", i)
+	object := func(kind cyclam.Kind, name, spec string) cyclam.Object {
+		return cyclam.Object{
+			Kind: kind,
+			Name: name,
+			Spec: json.RawMessage(spec),
+		}
+	}
+	return []cyclam.Object{
+		object(cyclam.KindService, name, `{"timeout":"2s"}`),
+		object(cyclam.KindRoute, name, fmt.Sprintf(`{"path-prefix":"/%s","service":%q,"timeout":"%dms"}`, name, name, timeoutMillis)),
+		object(cyclam.KindPlacementRule, name, fmt.Sprintf(`{"service":%q,"regions":["north","south"]}`, name)),
+	}
+}
+
+// saw notes that a version is in force on one more node.
+func (s *Spread) saw(version cyclam.Version, at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first, ok := s.accepted[version]
+	if !ok {
+		s.accepted[version] = at
+		first = at
+	}
+	s.inForce[version]++
+	_ = s.times.RecordValue(max(1, at.Sub(first).Microseconds()))
+}
+
+// reset starts the counts anew, after the fleet has settled.
+func (s *Spread) reset() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.accepted = map[cyclam.Version]time.Time{}
+	s.inForce = map[cyclam.Version]int{}
+	s.times.Reset()
+}
+
+func (s *Spread) runTree(ctx context.Context, platform string) (Row, error) {
+	network := &netem.Network{
+		Centres: centreDelay,
+		Regions: regionDelay,
+	}
+	tuning := setup.Defaults().Tuning
+	tuning.FanOut, tuning.Flush, tuning.Beat = s.FanOut, s.Flush, s.Beat
+	tuning.Lapse = max(tuning.Lapse, 4*s.Beat)
+	fleetOf := &swarm.Swarm{
+		Nodes:     s.Nodes,
+		Services:  s.Services,
+		Port:      s.Port + 1,
+		Platform:  platform,
+		Upstream:  platform,
+		Tuning:    tuning,
+		Network:   network,
+		Log:       hclog.NewNullLogger(),
+		OnVersion: func(_ int, version cyclam.Version, at time.Time) { s.saw(version, at) },
+	}
+	begin := time.Now()
+	fleetOf.Start(ctx)
+	defer fleetOf.Stop()
+	if err := fleetOf.Await(2*time.Minute, 1); err != nil {
+		return Row{}, errors.Wrap(err, "join")
+	}
+	row := s.row()
+	row.JoinMillis = millis(time.Since(begin))
+	time.Sleep(3 * time.Second)
+	s.reset()
+	use := startUse(platform, fleetOf.Count)
+	changes, eventTook, err := s.change(ctx, store.New(platform), fleetOf, network)
+	if err != nil {
+		return row, err
+	}
+	use.finish(&row, s.Nodes, changes)
+	row.EventMillis = millis(eventTook)
+	time.Sleep(2*time.Second + 4*s.Flush)
+	s.finish(&row, changes)
+	return row, nil
+}
+
+func (s *Spread) row() Row {
+	return Row{
+		Way:         s.Way,
+		Nodes:       s.Nodes,
+		Services:    s.Services,
+		PerSecond:   s.PerSecond,
+		FlushMillis: s.Flush.Milliseconds(),
+		FanOut:      s.FanOut,
+		Event:       s.Event,
+	}
+}
+
+func (s *Spread) finish(row *Row, changes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	row.Changes = changes
+	row.P50Millis = float64(s.times.ValueAtQuantile(50)) / 1000
+	row.P99Millis = float64(s.times.ValueAtQuantile(99)) / 1000
+	row.MaxMillis = float64(s.times.Max()) / 1000
+	for _, nodes := range s.inForce {
+		if nodes < s.Nodes {
+			row.Unfinished++
+		}
+	}
+}
+
+func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+// change writes changes at the rate, with the event in the middle.
+func (s *Spread) change(ctx context.Context, platform cyclam.Platform, f *swarm.Swarm, network *netem.Network) (int, time.Duration, error) {
+	begin := time.Now()
+	event := make(chan time.Duration, 1)
+	time.AfterFunc(s.Span/3, func() { event <- s.happen(ctx, f, network) })
+	changes := 0
+	for time.Since(begin) < s.Span {
+		if s.PerSecond == 0 {
+			time.Sleep(100 * time.Millisecond)
+			continue
+		}
+		o := resources(changes%s.Services, 1001+changes)[1]
+		stored, err := platform.Get(ctx, o.Key())
+		if err != nil {
+			return changes, 0, err
+		}
+		o.Revision = stored.Revision
+		if _, err := platform.Put(ctx, o); err != nil {
+			return changes, 0, err
+		}
+		changes++
+		time.Sleep(time.Until(begin.Add(time.Duration(float64(changes) / s.PerSecond * float64(time.Second)))))
+	}
+	return changes, <-event, nil
+}
+
+// happen brings the event about and returns how long its mending took.
+func (s *Spread) happen(ctx context.Context, f *swarm.Swarm, network *netem.Network) time.Duration {
+	begin := time.Now()
+	switch s.Event {
+	case "hub-loss":
+		for i, m := range f.Members() {
+			if m.Node.Status().Role == cyclam.RoleHub {
+				f.Kill(i)
+				defer f.Restart(ctx, i)
+				break
+			}
+		}
+		s.awaitAttached(f)
+	case "root-loss":
+		for i, m := range f.Members() {
+			if m.Node.Status().Role == cyclam.RoleRoot {
+				f.Kill(i)
+				defer f.Restart(ctx, i)
+				break
+			}
+		}
+		s.awaitAttached(f)
+	case "cut":
+		network.Cut()
+		time.Sleep(s.Span / 3)
+		network.Heal()
+		begin = time.Now()
+		s.awaitSame(f)
+	case "herd":
+		var group sync.WaitGroup
+		for i := 2; i < s.Nodes; i += 2 {
+			group.Go(func() { f.Kill(i) })
+		}
+		group.Wait()
+		begin = time.Now()
+		for i := 2; i < s.Nodes; i += 2 {
+			f.Restart(ctx, i)
+		}
+		_ = f.Await(time.Minute, 1)
+	case "churn":
+		for i := range 10 {
+			f.Restart(ctx, (7*i+3)%s.Nodes)
+			time.Sleep(s.Span / 30)
+		}
+	}
+	return time.Since(begin)
+}
+
+func (s *Spread) awaitAttached(f *swarm.Swarm) {
+	_ = fleet.Eventually(time.Minute, func() error {
+		root := false
+		for _, m := range f.Members() {
+			status := m.Node.Status()
+			root = root || status.Role == cyclam.RoleRoot
+			if !status.Attached {
+				return errors.New("not attached")
+			}
+		}
+		if !root {
+			return errors.New("no root")
+		}
+		return nil
+	})
+}
+
+func (s *Spread) awaitSame(f *swarm.Swarm) {
+	_ = fleet.Eventually(time.Minute, func() error {
+		low, high := cyclam.Version(1<<62), cyclam.Version(0)
+		for _, m := range f.Members() {
+			version := m.Node.Status().Version
+			low, high = min(low, version), max(high, version)
+		}
+		if high-low > 2 {
+			return errors.New("versions differ")
+		}
+		return nil
+	})
+}
+
+// use measures what the process and the platform spend over a span.
+type use struct {
+	platform string
+	count    func(string) int64
+	began    time.Time
+	cpu      time.Duration
+	bytes    int64
+	link     int64
+	stats    objapi.Stats
+}
+
+func startUse(platform string, count func(string) int64) use {
+	return use{
+		platform: platform,
+		count:    count,
+		began:    time.Now(),
+		cpu:      cpuTime(),
+		bytes:    count("control-bytes-out"),
+		link:     count("control-bytes-cross-region"),
+		stats:    platformStats(platform),
+	}
+}
+
+func (u use) finish(row *Row, nodes, changes int) {
+	span := time.Since(u.began).Seconds()
+	each := float64(nodes)
+	bytes := float64(u.count("control-bytes-out") - u.bytes)
+	row.BytesPerSecond = bytes / span / each
+	row.BytesPerChange = bytes / each / float64(max(changes, 1))
+	row.LinkPerSecond = float64(u.count("control-bytes-cross-region")-u.link) / span
+	row.CPUPercent = (cpuTime() - u.cpu).Seconds() / span / each * 100
+	row.MemoryMB = residentMB() / each
+	stats := platformStats(u.platform)
+	row.PlatformReads = float64(stats.Reads-u.stats.Reads) / span
+	row.PlatformWrites = float64(stats.Writes-u.stats.Writes) / span
+	row.Watches = stats.Waiting
+}
+
+func platformStats(address string) objapi.Stats {
+	var stats objapi.Stats
+	if body, err := fleet.Get("http://" + address + "/stats"); err == nil {
+		_ = json.Unmarshal(body, &stats)
+	}
+	return stats
+}
+
+func cpuTime() time.Duration {
+	var r syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &r)
+	return time.Duration(r.Utime.Nano() + r.Stime.Nano())
+}
+
+// residentMB returns the process's resident memory in megabytes.
+func residentMB() float64 {
+	data, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		return 0
+	}
+	var size, resident int64
+	_, _ = fmt.Sscan(string(data), &size, &resident)
+	return float64(resident*int64(os.Getpagesize())) / (1 << 20)
+}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -183,10 +183,14 @@
 	})
 }
 
+// missedTicks is how many ticks in a row must be missing for a process to count
+// as having been paused.
+const missedTicks = 2
+
 // woken lets a stopping node that was paused wait once more: calls may have come
 // in meanwhile that it has not seen yet.
 func (s State) woken(now time.Time) State {
-	if s.leaving && now.Sub(s.ticked) > s.Tuning.LeaveWait {
+	if s.leaving && now.Sub(s.ticked) > missedTicks*s.Tuning.Tree.Flush {
 		s.leaveAt = now.Add(s.Tuning.LeaveWait)
 	}
 	s.ticked = now
--- a/node/admin.go
+++ b/node/admin.go
@@ -30,8 +30,13 @@
 // Status returns what the node is doing.
 func (n *Node) Status() Status {
 	n.mu.Lock()
-	s := n.state
+	s, started := n.state, n.started
 	n.mu.Unlock()
+	if !started {
+		return Status{
+			Instance: cyclam.InstanceName(n.Settings.Instance),
+		}
+	}
 	return Status{
 		Instance:    n.self.Instance,
 		Incarnation: n.self.Incarnation,
--- a/node/clients.go
+++ b/node/clients.go
@@ -18,11 +18,13 @@
 
 // The limits of connections to other nodes and to the upstream.
 const (
-	dialLimit        = 500 * time.Millisecond
-	probeLimit       = 500 * time.Millisecond
-	idleLimit        = 30 * time.Second
-	peerConnections  = 512
-	answerLimitBytes = 64 << 20
+	dialLimit       = 500 * time.Millisecond
+	probeLimit      = 500 * time.Millisecond
+	idleLimit       = 30 * time.Second
+	peerConnections = 512
+	// controlConnections carry probes and cancels to the own upstream.
+	controlConnections = 2
+	answerLimitBytes   = 64 << 20
 )
 
 // dialError marks a failure before anything was sent.
@@ -42,6 +44,7 @@
 // off: it would send a request again that may have run.
 type clients struct {
 	settings setup.Upstream
+	dial     dialFunc
 	upstream *fasthttp.HostClient
 	control  *fasthttp.HostClient
 
@@ -49,16 +52,20 @@
 	peers map[string]*fasthttp.HostClient
 }
 
-func newClients(settings setup.Upstream) *clients {
+// dialFunc connects to an address.
+type dialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+func newClients(settings setup.Upstream, dial dialFunc) *clients {
 	return &clients{
 		settings: settings,
-		upstream: hostClient(settings.Address, settings.Connections),
-		control:  hostClient(settings.Address, 2),
+		dial:     dial,
+		upstream: hostClient(settings.Address, settings.Connections, dialTCP),
+		control:  hostClient(settings.Address, controlConnections, dialTCP),
 		peers:    map[string]*fasthttp.HostClient{},
 	}
 }
 
-func hostClient(address string, connections int) *fasthttp.HostClient {
+func hostClient(address string, connections int, dial dialFunc) *fasthttp.HostClient {
 	return &fasthttp.HostClient{
 		Addr:                          address,
 		MaxConns:                      connections,
@@ -91,7 +98,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if client, ok = c.peers[address]; !ok {
-		client = hostClient(address, peerConnections)
+		client = hostClient(address, peerConnections, c.dial)
 		c.peers[address] = client
 	}
 	return client
--- a/node/effects.go
+++ b/node/effects.go
@@ -13,6 +13,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	state, effects := mesh.Reduce(n.state, event)
+	if before := n.state.Conf().Version; n.OnVersion != nil && state.Conf().Version != before {
+		n.OnVersion(state.Conf().Version, event.At())
+	}
 	n.state = state
 	for _, effect := range effects {
 		n.perform(effect)
--- a/node/links.go
+++ b/node/links.go
@@ -127,7 +127,7 @@
 	counter := &byteCounter{
 		meters: n.meters,
 	}
-	conn, err := grpc.NewClient(e.Address, dialOptions(n.meters, counter)...)
+	conn, err := grpc.NewClient(e.Address, n.dialOptions(counter)...)
 	if err != nil {
 		return err
 	}
--- a/node/meters.go
+++ b/node/meters.go
@@ -50,16 +50,17 @@
 	}
 }
 
-func dialOptions(m meters, counter *byteCounter) []grpc.DialOption {
+func (n *Node) dialOptions(counter *byteCounter) []grpc.DialOption {
 	if counter == nil {
 		counter = &byteCounter{
-			meters: m,
+			meters: n.meters,
 		}
 	}
 	return []grpc.DialOption{
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithStatsHandler(counter),
 		grpc.WithNoProxy(),
+		grpc.WithContextDialer(n.Dial),
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -31,6 +31,10 @@
 	Platform cyclam.Platform
 	Log      hclog.Logger
 	Metrics  metrics.Registry
+	// Dial connects to other nodes; nil uses plain TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// OnVersion is told when a version comes into force here; it must not block.
+	OnVersion func(cyclam.Version, time.Time)
 
 	self     cyclam.Endpoint
 	tracer   *trace.Tracer
@@ -42,6 +46,8 @@
 	exit     chan string
 
 	mu       sync.Mutex
+	started  bool
+	stopping bool
 	state    mesh.State
 	links    map[cyclam.LinkID]*link
 	calls    map[cyclam.CallID]chan cyclam.Effect
@@ -59,6 +65,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	n.prepare(ctx)
+	if n.stopping {
+		return ErrExit
+	}
 	if err := n.tracer.Start(ctx); err != nil {
 		return cyclam.AtStep("start tracing", n.Settings.Instance, err)
 	}
@@ -83,15 +92,21 @@
 }
 
 func (n *Node) prepare(ctx context.Context) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.started = true
 	now := time.Now()
 	n.self = n.Settings.Endpoint(cyclam.Incarnation(now.UnixNano()))
 	if n.Metrics == nil {
 		n.Metrics = metrics.NewRegistry()
 	}
 	n.meters = newMeters(n.Metrics)
-	n.clients = newClients(n.Settings.Upstream)
+	if n.Dial == nil {
+		n.Dial = dialTCP
+	}
+	n.clients = newClients(n.Settings.Upstream, n.Dial)
 	n.cancels = &dialer{
-		options: dialOptions(n.meters, nil),
+		options: n.dialOptions(nil),
 	}
 	n.statuses = newStatuses(n.Platform)
 	n.chunks = &chunkLedger{}
@@ -110,6 +125,11 @@
 	}
 }
 
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
 type listeners struct {
 	calls, data, control, admin net.Listener
 }
@@ -196,6 +216,13 @@
 
 // Stop begins a planned stop; Run returns once nothing is in flight.
 func (n *Node) Stop() {
+	n.mu.Lock()
+	n.stopping = true
+	started := n.started
+	n.mu.Unlock()
+	if !started {
+		return
+	}
 	n.dispatch(cyclam.StopAsked{
 		Stamp: stamp(),
 	})
