Roster and set: work in proportion to the change

Cause (profile of a join of 600 nodes, and BenchmarkNews): each announcement copied 2 KB of bucket checksums twice and the service's list twice, a child's Hello was flooded once more than needed, and each delta checked the whole set. Checksums of buckets are worked out when two nodes meet, a list is copied once, a child that changes its parent is announced once, and a delta checks what it touches. Comparing rosters while news is under way is left out.

--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -7,6 +7,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"runtime/pprof"
 	"time"
 
 	"github.com/cyclamensaddle/cyclam/bench"
@@ -25,7 +26,14 @@
 	flag.StringVar(&s.Event, "event", "none", "none, hub-loss, root-loss, cut, herd or churn")
 	flag.StringVar(&s.Bin, "bin", "bin", "folder with the built programs")
 	flag.IntVar(&s.Port, "port", 20000, "first port to use")
+	profile := flag.String("cpu-profile", "", "file for a CPU profile")
 	flag.Parse()
+	if *profile != "" {
+		file, err := os.Create(*profile)
+		if err == nil && pprof.StartCPUProfile(file) == nil {
+			defer pprof.StopCPUProfile()
+		}
+	}
 	row, err := s.Run(context.Background())
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "bench failed:", err)
--- a/conf/check.go
+++ b/conf/check.go
@@ -19,6 +19,46 @@
 	return problems
 }
 
+// CheckAround returns the problems of a set that was consistent before some keys
+// were changed; what they do not touch is not looked at again.
+func (s Set) CheckAround(keys []cyclam.Key) []cyclam.Problem {
+	for _, key := range keys {
+		if s.troubled(key) {
+			return s.Check()
+		}
+	}
+	return nil
+}
+
+// troubled reports whether the resource with the key, or its absence, makes the
+// set inconsistent.
+func (s Set) troubled(key cyclam.Key) bool {
+	switch key.Kind {
+	case cyclam.KindService:
+		name := cyclam.ServiceName(key.Name)
+		_, exists := s.services.Get(name)
+		_, routed := s.routed.Get(name)
+		_, placed := s.placed.Get(name)
+		return !exists && (routed || placed)
+	case cyclam.KindRoute:
+		route, exists := s.routes.Get(key.Name)
+		if !exists {
+			return false
+		}
+		_, served := s.services.Get(route.Service)
+		names, _ := s.prefixes.Get(route.PathPrefix)
+		return !served || len(names) > 1
+	default:
+		rule, exists := s.rules.Get(key.Name)
+		if !exists {
+			return false
+		}
+		_, served := s.services.Get(rule.Service)
+		rules, _ := s.placed.Get(rule.Service)
+		return !served || disjoint(rules)
+	}
+}
+
 func (s Set) checkRoutes() []cyclam.Problem {
 	var problems []cyclam.Problem
 	for it := s.routes.Iterator(); !it.Done(); {
--- a/conf/intake.go
+++ b/conf/intake.go
@@ -240,7 +240,7 @@
 	if next.Digest() == set.Digest() {
 		return next, nil
 	}
-	if problems = next.Check(); len(problems) > 0 {
+	if problems = next.CheckAround(g.keys()); len(problems) > 0 {
 		return set, problems
 	}
 	return next, nil
--- a/conf/set.go
+++ b/conf/set.go
@@ -16,6 +16,8 @@
 	rules    *immutable.Map[string, cyclam.PlacementRule]
 	// prefixes finds routes by path prefix.
 	prefixes *immutable.Map[string, []string]
+	// routed counts the routes of each service.
+	routed *immutable.Map[cyclam.ServiceName, int]
 	// placed finds rules by service.
 	placed *immutable.Map[cyclam.ServiceName, []cyclam.PlacementRule]
 	digest cyclam.Digest
@@ -28,6 +30,7 @@
 		routes:   immutable.NewMap[string, cyclam.Route](nil),
 		rules:    immutable.NewMap[string, cyclam.PlacementRule](nil),
 		prefixes: immutable.NewMap[string, []string](nil),
+		routed:   immutable.NewMap[cyclam.ServiceName, int](nil),
 		placed:   immutable.NewMap[cyclam.ServiceName, []cyclam.PlacementRule](nil),
 	}
 }
@@ -70,6 +73,7 @@
 		s.services = s.services.Set(r.Name, r)
 	case cyclam.Route:
 		s.routes = s.routes.Set(r.Name, r)
+		s = s.counted(r.Service, 1)
 		names, _ := s.prefixes.Get(r.PathPrefix)
 		s.prefixes = s.prefixes.Set(r.PathPrefix, append(slices.Clip(names), r.Name))
 	case cyclam.PlacementRule:
@@ -92,6 +96,7 @@
 		s.services = s.services.Delete(r.Name)
 	case cyclam.Route:
 		s.routes = s.routes.Delete(r.Name)
+		s = s.counted(r.Service, -1)
 		s.prefixes = s.withoutPrefix(r)
 	case cyclam.PlacementRule:
 		s.rules = s.rules.Delete(r.Name)
@@ -100,6 +105,17 @@
 	return s
 }
 
+// counted changes how many routes a service has.
+func (s Set) counted(service cyclam.ServiceName, by int) Set {
+	count, _ := s.routed.Get(service)
+	if count+by == 0 {
+		s.routed = s.routed.Delete(service)
+		return s
+	}
+	s.routed = s.routed.Set(service, count+by)
+	return s
+}
+
 func (s Set) withoutPrefix(r cyclam.Route) *immutable.Map[string, []string] {
 	names, _ := s.prefixes.Get(r.PathPrefix)
 	left := slices.DeleteFunc(slices.Clone(names), func(name string) bool { return name == r.Name })
--- a/conf/state.go
+++ b/conf/state.go
@@ -45,8 +45,11 @@
 	for _, resource := range d.Upserts {
 		set = set.With(resource)
 	}
-	if err := verify(set, d.Result); err != nil {
-		return s, err
+	if set.Digest() != d.Result {
+		return s, ErrMismatch
+	}
+	if problems := set.CheckAround(deltaKeys(d)); len(problems) > 0 {
+		return s, errors.Wrap(ErrInvalid, problems[0].String())
 	}
 	s.history = appendHistory(s.history, d)
 	s.Set = set
@@ -54,6 +57,15 @@
 	return s, nil
 }
 
+func deltaKeys(d cyclam.Delta) []cyclam.Key {
+	keys := make([]cyclam.Key, 0, len(d.Deletes)+len(d.Upserts))
+	keys = append(keys, d.Deletes...)
+	for _, resource := range d.Upserts {
+		keys = append(keys, resource.Key())
+	}
+	return keys
+}
+
 // WithSnapshot replaces everything held, or returns the state as it was.
 func (s State) WithSnapshot(snap cyclam.Snapshot) (State, error) {
 	if snap.Version <= s.Version {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -2,7 +2,6 @@
 package roster
 
 import (
-	"hash/fnv"
 	"slices"
 	"strings"
 	"time"
@@ -27,7 +26,6 @@
 	entries  *immutable.Map[cyclam.InstanceName, cyclam.Endpoint]
 	services *immutable.Map[cyclam.ServiceName, []cyclam.Endpoint]
 	gone     *immutable.Map[cyclam.InstanceName, time.Time]
-	sums     *Sums
 	total    uint64
 }
 
@@ -37,7 +35,6 @@
 		entries:  immutable.NewMap[cyclam.InstanceName, cyclam.Endpoint](nil),
 		services: immutable.NewMap[cyclam.ServiceName, []cyclam.Endpoint](nil),
 		gone:     immutable.NewMap[cyclam.InstanceName, time.Time](nil),
-		sums:     &Sums{},
 	}
 }
 
@@ -59,8 +56,18 @@
 	return list
 }
 
-// Sums returns the checksum of each bucket.
-func (r Roster) Sums() *Sums { return r.sums }
+// Sums returns the checksum of each bucket. They are worked out on demand, as
+// they are needed only when two nodes meet.
+func (r Roster) Sums() *Sums {
+	sums := &Sums{}
+	for it := r.entries.Iterator(); !it.Done(); {
+		_, e, _ := it.Next()
+		if e.State != cyclam.EndpointGone {
+			sums[Bucket(e.Instance)] ^= checksum(e)
+		}
+	}
+	return sums
+}
 
 // Total returns a checksum over all endpoints that are not gone.
 func (r Roster) Total() uint64 { return r.total }
@@ -72,10 +79,15 @@
 	if known && !e.Newer(old) {
 		return r, false
 	}
+	r.entries = r.entries.Set(e.Instance, e)
+	if known && listed(old) && listed(e) && old.Service == e.Service {
+		r.services = r.services.Set(e.Service, replace(r.Service(e.Service), e))
+		r.total ^= checksum(old) ^ checksum(e)
+		return r, true
+	}
 	if known {
 		r = r.detached(old)
 	}
-	r.entries = r.entries.Set(e.Instance, e)
 	if e.State == cyclam.EndpointGone {
 		r.gone = r.gone.Set(e.Instance, now)
 		return r, true
@@ -84,13 +96,16 @@
 	return r.summed(e), true
 }
 
+// listed reports whether an endpoint stands in its service's list.
+func listed(e cyclam.Endpoint) bool { return e.State != cyclam.EndpointGone }
+
 // detached takes an endpoint out of the indexes.
 func (r Roster) detached(old cyclam.Endpoint) Roster {
 	if old.State == cyclam.EndpointGone {
 		r.gone = r.gone.Delete(old.Instance)
 		return r
 	}
-	left := remove(r.Service(old.Service), old.Instance)
+	left := without(r.Service(old.Service), old.Instance)
 	if len(left) == 0 {
 		r.services = r.services.Delete(old.Service)
 	} else {
@@ -100,11 +115,7 @@
 }
 
 func (r Roster) summed(e cyclam.Endpoint) Roster {
-	sums := *r.sums
-	sum := checksum(e)
-	sums[Bucket(e.Instance)] ^= sum
-	r.sums = &sums
-	r.total ^= sum
+	r.total ^= checksum(e)
 	return r
 }
 
@@ -123,12 +134,13 @@
 // Differing returns the endpoints in the buckets whose checksums differ from
 // the other side's.
 func (r Roster) Differing(other *Sums) []cyclam.Endpoint {
-	if *other == *r.sums {
+	sums := r.Sums()
+	if *other == *sums {
 		return nil
 	}
 	return r.filter(func(e cyclam.Endpoint) bool {
 		i := Bucket(e.Instance)
-		return other[i] != r.sums[i]
+		return other[i] != sums[i]
 	})
 }
 
@@ -174,37 +186,62 @@
 	return r.filter(func(e cyclam.Endpoint) bool { return e.State != cyclam.EndpointGone })
 }
 
+// The parameters of the 64-bit FNV-1a hash.
+const (
+	hashBasis = 14695981039346656037
+	hashPrime = 1099511628211
+)
+
+func hashName(name cyclam.InstanceName) uint64 {
+	h := uint64(hashBasis)
+	for i := range len(name) {
+		h = (h ^ uint64(name[i])) * hashPrime
+	}
+	return h
+}
+
 // Bucket returns the bucket of an instance.
 func Bucket(name cyclam.InstanceName) int {
-	h := fnv.New32a()
-	h.Write([]byte(name))
-	return int(h.Sum32() % Buckets)
+	return int(hashName(name) % Buckets)
 }
 
 func checksum(e cyclam.Endpoint) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(e.Instance))
-	for _, n := range []uint64{uint64(e.Incarnation), e.Sequence, uint64(e.State)} {
-		var b [8]byte
-		for i := range b {
-			b[i] = byte(n >> (8 * i))
-		}
-		h.Write(b[:])
+	h := hashName(e.Instance)
+	for _, n := range [...]uint64{uint64(e.Incarnation), e.Sequence, uint64(e.State)} {
+		_, mixed := cyclam.Rand(h ^ n).Next()
+		h = mixed
 	}
-	return h.Sum64()
+	return h
 }
 
 func byName(a, b cyclam.Endpoint) int {
 	return strings.Compare(string(a.Instance), string(b.Instance))
 }
 
+// insert returns a new list with e in its place.
 func insert(list []cyclam.Endpoint, e cyclam.Endpoint) []cyclam.Endpoint {
 	i, _ := slices.BinarySearchFunc(list, e, byName)
-	return slices.Insert(slices.Clip(slices.Clone(list)), i, e)
+	out := make([]cyclam.Endpoint, 0, len(list)+1)
+	out = append(out, list[:i]...)
+	out = append(out, e)
+	return append(out, list[i:]...)
 }
 
-func remove(list []cyclam.Endpoint, name cyclam.InstanceName) []cyclam.Endpoint {
-	return slices.DeleteFunc(slices.Clone(list), func(e cyclam.Endpoint) bool {
-		return e.Instance == name
-	})
+// without returns a new list that lacks an instance.
+func without(list []cyclam.Endpoint, name cyclam.InstanceName) []cyclam.Endpoint {
+	out := make([]cyclam.Endpoint, 0, len(list))
+	for _, e := range list {
+		if e.Instance != name {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// replace returns a new list in which e stands for its namesake.
+func replace(list []cyclam.Endpoint, e cyclam.Endpoint) []cyclam.Endpoint {
+	out := slices.Clone(list)
+	i, _ := slices.BinarySearchFunc(out, e, byName)
+	out[i] = e
+	return out
 }
--- a/tree/join.go
+++ b/tree/join.go
@@ -30,7 +30,8 @@
 	})}
 }
 
-// hello accepts a child, or sends it elsewhere.
+// hello accepts a child, or sends it elsewhere. A child that comes from another
+// parent announces itself anew once it is welcome, so its word is awaited.
 func (s State) hello(now time.Time, l link, m cyclam.Hello) (State, []cyclam.Effect) {
 	l.peer = m.Self
 	l.role = m.Role
@@ -59,8 +60,10 @@
 	}))
 	s, more := s.compared(l, m.Sums)
 	effects = append(effects, more...)
-	s, more = s.learn(now, l.id, []cyclam.Endpoint{m.Self})
-	effects = append(effects, more...)
+	if m.Self.Parent == s.Self.Instance {
+		s, more = s.learn(now, l.id, []cyclam.Endpoint{m.Self})
+		effects = append(effects, more...)
+	}
 	s, more = s.syncAll()
 	effects = append(effects, more...)
 	s, more = s.yieldRoot(l)
--- a/tree/spread.go
+++ b/tree/spread.go
@@ -11,10 +11,22 @@
 	"github.com/pkg/errors"
 )
 
-// differingBeats is how many beats in a row rosters may differ before the two
-// sides compare them; news under way makes them differ for a moment.
+// differingBeats is how many beats in a row rosters may differ, with neither of
+// them changing, before the two sides compare them. While news is under way they
+// differ anyhow, and comparing them would send everything again.
 const differingBeats = 3
 
+// compare counts the beats in which two rosters at rest differ.
+func (l link) compare(theirs, ours uint64) link {
+	moved := theirs != l.theirs || ours != l.ours
+	l.theirs, l.ours = theirs, ours
+	l.differs++
+	if moved || theirs == ours {
+		l.differs = 0
+	}
+	return l
+}
+
 // Adopt takes a configuration that the platform has accepted.
 func (s State) Adopt(held conf.State) (State, []cyclam.Effect) {
 	if held.Version <= s.Conf.Version {
@@ -190,10 +202,7 @@
 
 // beatFrom takes in a peer's heartbeat.
 func (s State) beatFrom(now time.Time, l link, m cyclam.Beat) (State, []cyclam.Effect) {
-	l.differs++
-	if m.Total == s.Roster.Total() {
-		l.differs = 0
-	}
+	l = l.compare(m.Total, s.Roster.Total())
 	l = l.withVersion(m.Version)
 	var effects []cyclam.Effect
 	if l.differs >= differingBeats {
--- a/tree/tree.go
+++ b/tree/tree.go
@@ -48,7 +48,9 @@
 	heard  time.Time
 	// version is what the peer holds or has been sent.
 	version cyclam.Version
-	// differs counts beats in a row in which the rosters differed.
+	// theirs and ours are the rosters' checksums at the last beat.
+	theirs, ours uint64
+	// differs counts beats in a row in which rosters at rest differed.
 	differs int
 	// behind counts beats in a row in which the peer held an older version.
 	behind int
