News gathered for 100 ms in a plain list; configuration, reports and bad news at once

Cause: at 1,000 nodes in one process the join of a herd spent its time on ticks and on envelopes with one announcement each. News of ready endpoints is now gathered for 100 ms (was 20), the tick is 50 ms, and only what is urgent leaves at the next tick. Ruled out: lost parents during the join (none in the log), the roster itself (15 of 147 s).

What remains is garbage collection of 1,000 nodes' heaps in one process.

--- a/bench/spread.go
+++ b/bench/spread.go
@@ -41,6 +41,8 @@
 	Event string
 	Bin   string
 	Port  int
+	// Verbose logs the nodes' decisions.
+	Verbose bool
 
 	mu       sync.Mutex
 	accepted map[cyclam.Version]time.Time
@@ -183,7 +185,7 @@
 		Upstream:  platform,
 		Tuning:    tuning,
 		Network:   network,
-		Log:       hclog.NewNullLogger(),
+		Log:       s.logger(),
 		OnVersion: func(_ int, version cyclam.Version, at time.Time) { s.saw(version, at) },
 	}
 	begin := time.Now()
@@ -403,3 +405,14 @@
 	_, _ = fmt.Sscan(string(data), &size, &resident)
 	return float64(resident*int64(os.Getpagesize())) / (1 << 20)
 }
+
+// logger writes the nodes' decisions to standard error where that is asked for.
+func (s *Spread) logger() hclog.Logger {
+	if !s.Verbose {
+		return hclog.NewNullLogger()
+	}
+	return hclog.New(&hclog.LoggerOptions{
+		Output: os.Stderr,
+		Level:  hclog.Info,
+	})
+}
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -21,11 +21,12 @@
 	flag.Float64Var(&s.PerSecond, "rate", 1, "changes per second")
 	flag.DurationVar(&s.Span, "span", 10*time.Second, "how long to change")
 	flag.IntVar(&s.FanOut, "fan-out", 16, "children per node")
-	flag.DurationVar(&s.Flush, "flush", 20*time.Millisecond, "how long news is gathered")
+	flag.DurationVar(&s.Flush, "flush", 100*time.Millisecond, "how long news is gathered")
 	flag.DurationVar(&s.Beat, "beat", 500*time.Millisecond, "heartbeat interval")
 	flag.StringVar(&s.Event, "event", "none", "none, hub-loss, root-loss, cut, herd or churn")
 	flag.StringVar(&s.Bin, "bin", "bin", "folder with the built programs")
 	flag.IntVar(&s.Port, "port", 20000, "first port to use")
+	flag.BoolVar(&s.Verbose, "verbose", false, "log the nodes' decisions")
 	profile := flag.String("cpu-profile", "", "file for a CPU profile")
 	flag.Parse()
 	if *profile != "" {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -183,14 +183,14 @@
 	})
 }
 
-// missedTicks is how many ticks in a row must be missing for a process to count
-// as having been paused.
-const missedTicks = 2
+// pauseSign is the time between two ticks that shows that the process was
+// paused; the shell sends them several times as often.
+const pauseSign = 200 * time.Millisecond
 
 // woken lets a stopping node that was paused wait once more: calls may have come
 // in meanwhile that it has not seen yet.
 func (s State) woken(now time.Time) State {
-	if s.leaving && now.Sub(s.ticked) > missedTicks*s.Tuning.Tree.Flush {
+	if s.leaving && now.Sub(s.ticked) > pauseSign {
 		s.leaveAt = now.Add(s.Tuning.LeaveWait)
 	}
 	s.ticked = now
--- a/node/node.go
+++ b/node/node.go
@@ -238,9 +238,12 @@
 	}
 }
 
+// tickEvery is the interval at which the decisions see time pass.
+const tickEvery = 50 * time.Millisecond
+
 // tick lets the decisions see time pass.
 func (n *Node) tick(ctx context.Context) error {
-	ticker := time.NewTicker(n.Settings.Tuning.Flush)
+	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	for {
 		select {
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -115,7 +115,7 @@
 		},
 		Tuning: Tuning{
 			FanOut:     16,
-			Flush:      20 * time.Millisecond,
+			Flush:      100 * time.Millisecond,
 			Beat:       500 * time.Millisecond,
 			Lapse:      2 * time.Second,
 			Grace:      3 * time.Second,
--- a/tree/join.go
+++ b/tree/join.go
@@ -241,8 +241,5 @@
 func (s State) announce(now time.Time) State {
 	s.Self = s.Self.Bumped()
 	s.Roster, _ = s.Roster.With(now, s.Self)
-	s.pending = s.pending.Append(news{
-		endpoint: s.Self,
-	})
-	return s
+	return s.passOn(s.Self, 0)
 }
--- a/tree/reduce.go
+++ b/tree/reduce.go
@@ -125,6 +125,7 @@
 		return s.pulled(l, m)
 	case cyclam.Report:
 		l.report = m
+		s.urgent = true
 		return s.withLink(l), nil
 	default:
 		return s, nil
--- a/tree/spread.go
+++ b/tree/spread.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/benbjohnson/immutable"
 	cyclam "github.com/cyclamensaddle/cyclam"
 	"github.com/cyclamensaddle/cyclam/conf"
 	"github.com/cyclamensaddle/cyclam/roster"
@@ -33,6 +32,7 @@
 		return s, nil
 	}
 	s.Conf = held
+	s.urgent = true
 	return s.syncAll()
 }
 
@@ -144,10 +144,17 @@
 		return s
 	}
 	s.Roster = next
-	s.pending = s.pending.Append(news{
+	return s.passOn(e, from)
+}
+
+// passOn queues an announcement for the other links.
+func (s State) passOn(e cyclam.Endpoint, from cyclam.LinkID) State {
+	s.pending = &news{
 		endpoint: e,
 		from:     from,
-	})
+		earlier:  s.pending,
+	}
+	s.urgent = s.urgent || e.State != cyclam.EndpointReady
 	return s
 }
 
@@ -244,7 +251,7 @@
 
 // flush sends the gathered news and report when they are due.
 func (s State) flush(now time.Time) (State, []cyclam.Effect) {
-	if now.Sub(s.flushed) < s.Tuning.Flush {
+	if now.Sub(s.flushed) < s.Tuning.Flush && !s.urgent {
 		return s, nil
 	}
 	return s.flushNow(now)
@@ -252,10 +259,11 @@
 
 func (s State) flushNow(now time.Time) (State, []cyclam.Effect) {
 	s.flushed = now
+	s.urgent = false
 	var effects []cyclam.Effect
-	if s.pending.Len() > 0 {
+	if s.pending != nil {
 		effects = s.newsFor(s.joinedLinks())
-		s.pending = immutable.NewList[news]()
+		s.pending = nil
 	}
 	s, more := s.reportUp()
 	return s, append(effects, more...)
@@ -265,12 +273,12 @@
 	var effects []cyclam.Effect
 	for _, l := range links {
 		var endpoints []cyclam.Endpoint
-		for it := s.pending.Iterator(); !it.Done(); {
-			_, n := it.Next()
+		for n := s.pending; n != nil; n = n.earlier {
 			if n.from != l.id {
 				endpoints = append(endpoints, n.endpoint)
 			}
 		}
+		slices.Reverse(endpoints)
 		if len(endpoints) > 0 {
 			effects = append(effects, send(l, cyclam.News{
 				Endpoints: endpoints,
--- a/tree/tree.go
+++ b/tree/tree.go
@@ -22,7 +22,9 @@
 type Tuning struct {
 	// FanOut is how many children without a control role a node feeds.
 	FanOut int
-	// Flush is how long news is gathered before it is sent; longer saves bytes.
+	// Flush is how long news and reports are gathered before they are sent;
+	// longer saves bytes. Configuration, and news of endpoints that take no more
+	// calls, do not wait for it.
 	Flush time.Duration
 	// Beat is the interval of heartbeats.
 	Beat time.Duration
@@ -57,10 +59,12 @@
 	report cyclam.Report
 }
 
-// news is one announcement to pass on, and the link it came from.
+// news is a list of announcements to pass on, the latest first, each with the
+// link it came from.
 type news struct {
 	endpoint cyclam.Endpoint
 	from     cyclam.LinkID
+	earlier  *news
 }
 
 // State is a node's place in the tree and what it has learnt through it.
@@ -70,13 +74,15 @@
 	Conf   conf.State
 	Roster roster.Roster
 
-	claims   map[cyclam.Role]lease.Claim
-	links    *immutable.SortedMap[cyclam.LinkID, link]
-	parent   cyclam.LinkID
-	path     []cyclam.InstanceName
-	seek     seek
-	lost     *immutable.SortedMap[string, loss]
-	pending  *immutable.List[news]
+	claims  map[cyclam.Role]lease.Claim
+	links   *immutable.SortedMap[cyclam.LinkID, link]
+	parent  cyclam.LinkID
+	path    []cyclam.InstanceName
+	seek    seek
+	lost    *immutable.SortedMap[string, loss]
+	pending *news
+	// urgent is set while something waits that must not be gathered any longer.
+	urgent   bool
 	reported cyclam.Report
 	rand     cyclam.Rand
 	nextLink cyclam.LinkID
@@ -106,7 +112,6 @@
 		claims:   map[cyclam.Role]lease.Claim{},
 		links:    immutable.NewSortedMap[cyclam.LinkID, link](nil),
 		lost:     immutable.NewSortedMap[string, loss](nil),
-		pending:  immutable.NewList[news](),
 		rand:     cyclam.Rand(self.Incarnation),
 		nextLink: firstOwnLink,
 		floor: floor{
