--- a/node/node.go
+++ b/node/node.go
@@ -79,6 +79,7 @@
 	n.serve(ctx, group, listeners)
 	group.Go(func() error { return n.tick(ctx) })
 	group.Go(func() error { return n.probe(ctx) })
+	group.Go(func() error { return n.writeStatuses(ctx) })
 	group.Go(func() error { return n.awaitExit(ctx) })
 	n.Log.Info("node-started",
 		"instance", n.self.Instance,
--- a/node/platform.go
+++ b/node/platform.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"sync"
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
@@ -35,7 +34,7 @@
 	case cyclam.WatchObjects:
 		go n.watchObjects(e)
 	case cyclam.WriteStatus:
-		go n.writeStatus(e)
+		n.statuses.add(e)
 	default:
 		n.Log.Error("effect-unknown", "effect", hclog.Fmt("%T", effect))
 	}
@@ -226,52 +225,3 @@
 		Err:     n.counted(err),
 	})
 }
-
-func (n *Node) writeStatus(e cyclam.WriteStatus) {
-	if err := n.counted(n.statuses.write(n.ctx, e)); err != nil {
-		n.Log.Warn("status-not-written", "status", e.Name, "error", err)
-	}
-}
-
-// statuses remembers the revisions of status objects, so that writes need no
-// reads.
-type statuses struct {
-	platform cyclam.Platform
-
-	mu        sync.Mutex
-	revisions map[string]uint64
-}
-
-func newStatuses(platform cyclam.Platform) *statuses {
-	return &statuses{
-		platform:  platform,
-		revisions: map[string]uint64{},
-	}
-}
-
-// write puts a status object over whatever is stored.
-func (s *statuses) write(ctx context.Context, e cyclam.WriteStatus) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	spec, err := json.Marshal(e.Value)
-	if err != nil {
-		return errors.Wrap(err, "encode status "+e.Name)
-	}
-	object := cyclam.Object{
-		Kind:     cyclam.KindStatus,
-		Name:     e.Name,
-		Revision: s.revisions[e.Name],
-		Spec:     spec,
-	}
-	stored, err := s.platform.Put(ctx, object)
-	if errors.Is(err, cyclam.ErrConflict) {
-		present, _ := s.platform.Get(ctx, object.Key())
-		object.Revision = present.Revision
-		stored, err = s.platform.Put(ctx, object)
-	}
-	if err != nil {
-		return err
-	}
-	s.revisions[e.Name] = stored.Revision
-	return nil
-}
--- a/stand/fleet/fleet.go
+++ b/stand/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	cyclam "github.com/cyclamensaddle/cyclam"
 	"github.com/cyclamensaddle/cyclam/node"
 	"github.com/cyclamensaddle/cyclam/stand/objapi"
 	"github.com/cyclamensaddle/cyclam/stand/worker"
@@ -222,6 +223,13 @@
 	return post("http://"+m.Upstream+"/fault", fault)
 }
 
+// Object reads an object from the platform.
+func (f *Fleet) Object(kind cyclam.Kind, name string) (cyclam.Object, error) {
+	var object cyclam.Object
+	err := getJSON("http://"+f.Platform+"/v1/objects/"+string(kind)+"/"+name, &object)
+	return object, err
+}
+
 // requestLimit bounds a request to a stand-in or to a node's admin address.
 const requestLimit = 2 * time.Second
 
