--- a/codec/decode.go
+++ b/codec/decode.go
@@ -23,6 +23,7 @@
 		b := m.Beat
 		return cyclam.Beat{
 			Path:    names(b.GetPath()),
+			Role:    cyclam.Role(b.GetRole()),
 			Version: cyclam.Version(b.GetVersion()),
 			Total:   b.GetTotal(),
 		}, nil
--- a/codec/encode.go
+++ b/codec/encode.go
@@ -45,6 +45,7 @@
 	case cyclam.Beat:
 		beat := &wire.Beat{
 			Path:    texts(m.Path),
+			Role:    string(m.Role),
 			Version: uint64(m.Version),
 			Total:   m.Total,
 		}
--- a/message.go
+++ b/message.go
@@ -36,7 +36,9 @@
 type Beat struct {
 	// Path lists the instances from the top of the tree down to the sender;
 	// it is empty when the sender is the child.
-	Path    []InstanceName
+	Path []InstanceName
+	// Role is the highest control role that the sender holds.
+	Role    Role
 	Version Version
 	// Total is a checksum over the sender's roster.
 	Total uint64
--- a/node/clients.go
+++ b/node/clients.go
@@ -76,7 +76,9 @@
 		NoDefaultUserAgentHeader:      true,
 		DisableHeaderNamesNormalizing: false,
 		Dial: func(address string) (net.Conn, error) {
-			conn, err := net.DialTimeout("tcp", address, dialLimit)
+			ctx, cancel := context.WithTimeout(context.Background(), dialLimit)
+			defer cancel()
+			conn, err := dial(ctx, address)
 			if err != nil {
 				return nil, &dialError{
 					err: err,
--- a/tree/join.go
+++ b/tree/join.go
@@ -166,6 +166,7 @@
 	s.path = m.Path
 	s.acting = false
 	s.makeshift = s.seek.fallback
+	s.want = s.seek.want
 	s.seek = seek{}
 	s.reported = cyclam.Report{}
 	effects := []cyclam.Effect{note("parent-joined", "peer", m.Self.Instance, "depth", len(m.Path))}
--- a/tree/loss.go
+++ b/tree/loss.go
@@ -50,6 +50,24 @@
 	return s, []cyclam.Effect{note("parent-lost", "peer", l.peer.Instance, "reason", reason)}
 }
 
+// rank orders the roles by how far up the tree their holders stand.
+var rank = map[cyclam.Role]int{
+	cyclam.RoleHub:  1,
+	cyclam.RoleLead: 2,
+	cyclam.RoleRoot: 3,
+}
+
+// covers reports whether a role is at least the wanted one.
+func covers(role, want cyclam.Role) bool { return rank[role] >= rank[want] }
+
+// parentResigned leaves a parent that no longer holds the role for which it was
+// chosen. It may itself have to be fed from below this node.
+func (s State) parentResigned(effects []cyclam.Effect) (State, []cyclam.Effect) {
+	s, effects = s.leaveParent(effects, "parent gave its role up")
+	s.seek = seek{}
+	return s, effects
+}
+
 // childLost gives the child some time. A lost lead more often means that the
 // regions are cut than that a region is dead, so nothing is declared for it.
 func (s State) childLost(now time.Time, l link, reason string) (State, []cyclam.Effect) {
--- a/tree/spread.go
+++ b/tree/spread.go
@@ -196,6 +196,7 @@
 	var effects []cyclam.Effect
 	for _, l := range s.joinedLinks() {
 		m := cyclam.Beat{
+			Role:    s.Role(),
 			Version: s.Conf.Version,
 			Total:   s.Roster.Total(),
 		}
@@ -228,6 +229,9 @@
 			})
 		}
 		s.path = m.Path
+		if !covers(m.Role, s.want) {
+			return s.parentResigned(effects)
+		}
 	}
 	s, more := s.syncAll()
 	return s, append(effects, more...)
--- a/tree/tree.go
+++ b/tree/tree.go
@@ -95,6 +95,9 @@
 	acting bool
 	// makeshift is set while the parent was chosen without the platform.
 	makeshift bool
+	// want is the role for which the parent was chosen; empty for a parent that
+	// was named by another node.
+	want cyclam.Role
 	// superseded is set once another process runs under this instance name.
 	superseded bool
 }
