--- /dev/null
+++ b/bench/calls.go
@@ -0,0 +1,268 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/cyclamensaddle/cyclam/load"
+	"github.com/cyclamensaddle/cyclam/oper"
+	"github.com/cyclamensaddle/cyclam/stand/fleet"
+	"github.com/pkg/errors"
+)
+
+// Calls measures the path of a call on a deployment of separate processes.
+type Calls struct {
+	Samples string
+	Bin     string
+	Port    int
+	Span    time.Duration
+	// Trace is the share of calls that are traced to a file.
+	Trace float64
+	// Policy is on, or off for upstreams and nodes that queue without a bound
+	// and retry without a budget.
+	Policy bool
+	// Overrides replaces tuning by name, for comparing settings.
+	Overrides map[string]any
+}
+
+// LatencyRow compares calls straight to an upstream with calls through nodes.
+type LatencyRow struct {
+	PerSecond     float64 `json:"calls-per-second"`
+	Trace         float64 `json:"trace-ratio"`
+	DirectP50     float64 `json:"direct-p50-us"`
+	DirectP99     float64 `json:"direct-p99-us"`
+	ThroughP50    float64 `json:"through-p50-us"`
+	ThroughP99    float64 `json:"through-p99-us"`
+	AddedP50      float64 `json:"added-p50-us"`
+	AddedP99      float64 `json:"added-p99-us"`
+	EntryCPU      float64 `json:"entry-cpu-us-per-call"`
+	ServingCPU    float64 `json:"serving-cpu-us-per-call"`
+	EntryMemoryMB float64 `json:"entry-memory-mb"`
+}
+
+// GoodputRow is what came of an offered load.
+type GoodputRow struct {
+	Policy  bool    `json:"policy"`
+	Offered float64 `json:"offered-per-second"`
+	Share   float64 `json:"offered-of-capacity"`
+	Done    float64 `json:"done-per-second"`
+	NotRun  float64 `json:"not-run-per-second"`
+	Unknown float64 `json:"unknown-per-second"`
+	P50     float64 `json:"done-p50-ms"`
+	P99     float64 `json:"done-p99-ms"`
+	Twice   int     `json:"bookings-run-twice"`
+	Lied    int     `json:"not-run-but-ran"`
+}
+
+// start brings the deployment up with the sample's resources in force.
+func (c *Calls) start(ctx context.Context, change func(*fleet.Spec)) (*fleet.Fleet, error) {
+	spec, err := fleet.ReadSpec(filepath.Join(c.Samples, "fleet.json"))
+	if err != nil {
+		return nil, err
+	}
+	for name, value := range c.Overrides {
+		spec.Tuning[name] = value
+	}
+	change(&spec)
+	dir, err := os.MkdirTemp("", "cyclamensaddle-bench-")
+	if err != nil {
+		return nil, err
+	}
+	f := &fleet.Fleet{
+		Spec: spec,
+		Bin:  c.Bin,
+		Dir:  dir,
+		Port: c.Port,
+	}
+	if c.Trace > 0 {
+		f.Trace = map[string]any{"ratio": c.Trace, "file": filepath.Join(dir, "spans.json")}
+	}
+	if err := f.Start(); err != nil {
+		return f, err
+	}
+	if err := f.AwaitAttached(15*time.Second, f.Members); err != nil {
+		return f, err
+	}
+	var out bytes.Buffer
+	app := &oper.App{
+		In:  strings.NewReader(""),
+		Out: &out,
+		Err: &out,
+	}
+	code := app.Run(ctx, []string{"cyclamensaddle", "apply", "--platform", f.Platform, "-f", filepath.Join(c.Samples, "resources.json"), "--wait"})
+	if code != 0 {
+		return f, errors.New(out.String())
+	}
+	return f, nil
+}
+
+// Latency measures at some rates, half of the calls direct and half through two
+// nodes, in turns.
+func (c *Calls) Latency(ctx context.Context, rates []float64) ([]LatencyRow, error) {
+	f, err := c.start(ctx, func(*fleet.Spec) {})
+	if f != nil {
+		defer f.Stop()
+	}
+	if err != nil {
+		return nil, err
+	}
+	serving, entry := f.Members[0], f.Members[5]
+	var rows []LatencyRow
+	for _, rate := range rates {
+		next := func(i int) load.Call {
+			address := entry.Calls
+			if i%2 == 0 {
+				address = serving.Upstream
+			}
+			return load.Call{
+				Method:  "GET",
+				Address: address,
+				Path:    f.Spec.LookupPath,
+				Job:     fmt.Sprint(rate, "-", i),
+				Headers: map[string]string{"X-Delay": "0s"},
+			}
+		}
+		warm := &load.Run{
+			PerSecond: 2 * rate,
+			FromSend:  true,
+			Span:      time.Second,
+			Timeout:   time.Second,
+			Next:      next,
+		}
+		warm.Do(ctx)
+		entryCPU, servingCPU := f.CPU(entry.Name), f.CPU(serving.Name)
+		run := &load.Run{
+			PerSecond: 2 * rate,
+			FromSend:  true,
+			Span:      c.Span,
+			Timeout:   time.Second,
+			Next:      next,
+		}
+		row := latencyRow(run.Do(ctx), serving.Upstream)
+		calls := rate * c.Span.Seconds()
+		row.PerSecond, row.Trace = rate, c.Trace
+		row.EntryCPU = float64((f.CPU(entry.Name) - entryCPU).Microseconds()) / calls
+		row.ServingCPU = float64((f.CPU(serving.Name) - servingCPU).Microseconds()) / calls
+		row.EntryMemoryMB = f.MemoryMB(entry.Name)
+		rows = append(rows, row)
+	}
+	return rows, nil
+}
+
+func latencyRow(result *load.Result, upstream string) LatencyRow {
+	direct, through := load.NewResult(), load.NewResult()
+	for _, e := range result.Endings {
+		side := through
+		if e.Call.Address == upstream {
+			side = direct
+		}
+		if e.Outcome == "done" {
+			_ = side.Latencies.RecordValue(max(1, e.Took.Microseconds()))
+		}
+	}
+	micros := func(r *load.Result, percent float64) float64 {
+		return float64(r.Latencies.ValueAtQuantile(percent))
+	}
+	row := LatencyRow{
+		DirectP50:  micros(direct, 50),
+		DirectP99:  micros(direct, 99),
+		ThroughP50: micros(through, 50),
+		ThroughP99: micros(through, 99),
+	}
+	row.AddedP50 = row.ThroughP50 - row.DirectP50
+	row.AddedP99 = row.ThroughP99 - row.DirectP99
+	return row
+}
+
+// The overload experiment: the bookings' service has two upstreams in the
+// allowed region, each with so many slots and such a service time.
+const (
+	overloadSlots = 12
+	overloadDelay = 50 * time.Millisecond
+	overloadHomes = 2
+)
+
+// capacity is how many bookings a second the upstreams can do.
+const capacity = overloadHomes * overloadSlots * float64(time.Second) / float64(overloadDelay)
+
+// Goodput offers shares of the capacity, half idempotent and half not.
+func (c *Calls) Goodput(ctx context.Context, shares []float64) ([]GoodputRow, error) {
+	f, err := c.start(ctx, func(s *fleet.Spec) {
+		s.Delay = overloadDelay.String()
+		if c.Policy {
+			return
+		}
+		s.Wait = true
+		s.Upstream = map[string]any{"slots": 10000, "connections": 10000, "queue": 10000, "queue-wait": "10s"}
+		s.Tuning["max-sends"], s.Tuning["retry-share"], s.Tuning["retry-burst"] = 10, 1, 1000
+	})
+	if f != nil {
+		defer f.Stop()
+	}
+	if err != nil {
+		return nil, err
+	}
+	var rows []GoodputRow
+	for _, share := range shares {
+		row, err := c.goodput(ctx, f, share)
+		if err != nil {
+			return rows, err
+		}
+		rows = append(rows, row)
+		time.Sleep(2 * time.Second)
+	}
+	return rows, nil
+}
+
+func (c *Calls) goodput(ctx context.Context, f *fleet.Fleet, share float64) (GoodputRow, error) {
+	entries := f.Members[:5]
+	run := &load.Run{
+		PerSecond: share * capacity,
+		Span:      c.Span,
+		Timeout:   3 * time.Second,
+		Next: func(i int) load.Call {
+			method := "GET"
+			if i%2 == 0 {
+				method = "POST"
+			}
+			return load.Call{
+				Method:  method,
+				Address: entries[i%len(entries)].Calls,
+				Path:    f.Spec.BookingPath,
+				Job:     fmt.Sprint(share, "-", i),
+				Headers: map[string]string{"X-Request-Timeout": "500ms"},
+			}
+		},
+	}
+	result := run.Do(ctx)
+	time.Sleep(time.Second)
+	jobs, err := f.Jobs()
+	if err != nil {
+		return GoodputRow{}, err
+	}
+	row := GoodputRow{
+		Policy:  c.Policy,
+		Offered: share * capacity,
+		Share:   share,
+	}
+	for job, e := range result.Endings {
+		if e.Call.Method == "POST" && jobs[job] > 1 {
+			row.Twice++
+		}
+		if e.Call.Method == "POST" && e.Outcome == "not-run" && jobs[job] > 0 {
+			row.Lied++
+		}
+	}
+	span := c.Span.Seconds()
+	row.Done = float64(result.Outcomes["done"]) / span
+	row.NotRun = float64(result.Outcomes["not-run"]) / span
+	row.Unknown = float64(result.Outcomes["unknown"]+result.Outcomes["no-answer"]) / span
+	row.P50 = millis(result.Quantile(50))
+	row.P99 = millis(result.Quantile(99))
+	return row, nil
+}
--- a/cmd/stand-upstream/main.go
+++ b/cmd/stand-upstream/main.go
@@ -15,12 +15,14 @@
 	slots := flag.Int("slots", 12, "calls worked on at once")
 	connections := flag.Int("connections", 120, "connections at once")
 	delay := flag.Duration("delay", time.Millisecond, "service time")
+	wait := flag.Bool("wait", false, "let work beyond the slots wait")
 	flag.Parse()
 	w := &worker.Worker{
 		Name:        *name,
 		Slots:       *slots,
 		Connections: *connections,
 		Delay:       *delay,
+		Wait:        *wait,
 	}
 	log.Fatal(w.Serve(*listen))
 }
--- a/demo/report.go
+++ b/demo/report.go
@@ -62,6 +62,7 @@
 func (d *Demo) latencyRun(entry, upstream fleet.Member, span time.Duration) *load.Run {
 	return &load.Run{
 		PerSecond: latencyRate,
+		FromSend:  true,
 		Span:      span,
 		Timeout:   2 * time.Second,
 		Next: func(i int) load.Call {
--- a/load/load.go
+++ b/load/load.go
@@ -98,6 +98,9 @@
 	Next func(i int) Call
 	// Timeout bounds each call.
 	Timeout time.Duration
+	// FromSend counts a call's time from when it is sent, and not from when it
+	// was due; the sender's own wake-up is then left out.
+	FromSend bool
 
 	client fasthttp.Client
 }
@@ -122,6 +125,9 @@
 		group.Add(1)
 		go func() {
 			defer group.Done()
+			if r.FromSend {
+				due = time.Now()
+			}
 			result.add(r.Send(r.Next(i), due))
 		}()
 	}
--- a/stand/fleet/fleet.go
+++ b/stand/fleet/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -26,6 +27,8 @@
 	Dir string
 	// Port is the first port to use.
 	Port int
+	// Trace is the nodes' trace settings.
+	Trace map[string]any
 
 	Members  []Member
 	Platform string
@@ -38,6 +41,9 @@
 	f.Members = f.Spec.Members(f.Port)
 	f.Platform = local(f.Port)
 	f.nodes = map[string]*exec.Cmd{}
+	if f.Trace == nil {
+		f.Trace = map[string]any{}
+	}
 	if err := f.StartPlatform(); err != nil {
 		return err
 	}
@@ -68,7 +74,13 @@
 }
 
 func (f *Fleet) startUpstream(m Member) error {
+	delay := f.Spec.Delay
+	if delay == "" {
+		delay = "1ms"
+	}
 	cmd, err := f.start("upstream-"+m.Name, "stand-upstream",
+		"-delay", delay,
+		"-wait="+strconv.FormatBool(f.Spec.Wait),
 		"-listen", m.Upstream,
 		"-name", m.Name,
 		"-slots", strconv.Itoa(m.Service.Slots),
@@ -100,17 +112,20 @@
 			seeds = append(seeds, o.Control)
 		}
 	}
+	upstream := map[string]any{
+		"address": m.Upstream, "slots": m.Service.Slots, "connections": m.Service.Connections,
+		"cancel-path": "/cancel",
+	}
+	maps.Copy(upstream, f.Spec.Upstream)
 	return map[string]any{
 		"instance": m.Name, "service": m.Service.Name,
 		"region": m.Place.Region, "data-centre": m.Place.DataCentre,
-		"listen": map[string]any{"calls": m.Calls, "data": m.Data, "control": m.Control, "admin": m.Admin},
-		"upstream": map[string]any{
-			"address": m.Upstream, "slots": m.Service.Slots, "connections": m.Service.Connections,
-			"cancel-path": "/cancel",
-		},
+		"listen":   map[string]any{"calls": m.Calls, "data": m.Data, "control": m.Control, "admin": m.Admin},
+		"upstream": upstream,
 		"platform": map[string]any{"address": f.Platform, "region": f.Spec.PlatformRegion},
 		"seeds":    seeds,
 		"tuning":   f.Spec.Tuning,
+		"trace":    f.Trace,
 	}
 }
 
--- a/stand/fleet/spec.go
+++ b/stand/fleet/spec.go
@@ -23,6 +23,12 @@
 	ChangedPath    string          `json:"changed-path"`
 	ChangedService string          `json:"changed-service"`
 	Tuning         map[string]any  `json:"tuning"`
+	// Upstream overrides settings of the upstreams.
+	Upstream map[string]any `json:"upstream"`
+	// Wait makes the upstream stand-ins queue without a bound.
+	Wait bool `json:"wait"`
+	// Delay is the upstream stand-ins' service time, such as 50ms.
+	Delay string `json:"delay"`
 }
 
 // Centre is one data centre.
--- a/stand/worker/worker.go
+++ b/stand/worker/worker.go
@@ -54,7 +54,10 @@
 	Slots       int
 	Connections int
 	Delay       time.Duration
+	// Wait makes work beyond the slots wait instead of being refused.
+	Wait bool
 
+	slots   chan struct{}
 	mu      sync.Mutex
 	fault   Fault
 	jobs    map[string]int
@@ -68,6 +71,7 @@
 func (w *Worker) init() {
 	w.jobs = map[string]int{}
 	w.aborts = map[string]chan struct{}{}
+	w.slots = make(chan struct{}, w.Slots)
 	w.filler = bytes.Repeat([]byte("coil-and-plate "), defaultSize)
 }
 
@@ -141,6 +145,10 @@
 func (w *Worker) work(ctx *fasthttp.RequestCtx) {
 	job := string(ctx.Request.Header.Peek(JobHeader))
 	attempt := string(ctx.Request.Header.Peek(AttemptHeader))
+	if w.Wait {
+		w.slots <- struct{}{}
+		defer func() { <-w.slots }()
+	}
 	abort, ok := w.begin(job, attempt)
 	if !ok {
 		ctx.Response.Header.Set(NotStartedHeader, "no")
