--- a/bench/calls.go
+++ b/bench/calls.go
@@ -32,14 +32,19 @@
 
 // LatencyRow compares calls straight to an upstream with calls through nodes.
 type LatencyRow struct {
-	PerSecond     float64 `json:"calls-per-second"`
-	Trace         float64 `json:"trace-ratio"`
-	DirectP50     float64 `json:"direct-p50-us"`
-	DirectP99     float64 `json:"direct-p99-us"`
-	ThroughP50    float64 `json:"through-p50-us"`
-	ThroughP99    float64 `json:"through-p99-us"`
-	AddedP50      float64 `json:"added-p50-us"`
-	AddedP99      float64 `json:"added-p99-us"`
+	PerSecond  float64 `json:"calls-per-second"`
+	Trace      float64 `json:"trace-ratio"`
+	DirectP50  float64 `json:"direct-p50-us"`
+	DirectP99  float64 `json:"direct-p99-us"`
+	ThroughP50 float64 `json:"through-p50-us"`
+	ThroughP99 float64 `json:"through-p99-us"`
+	RelayedP50 float64 `json:"relayed-p50-us"`
+	RelayedP99 float64 `json:"relayed-p99-us"`
+	AddedP50   float64 `json:"added-p50-us"`
+	AddedP99   float64 `json:"added-p99-us"`
+	// DecidedP50 and DecidedP99 are what nodes add over the bare relays.
+	DecidedP50    float64 `json:"over-relays-p50-us"`
+	DecidedP99    float64 `json:"over-relays-p99-us"`
 	EntryCPU      float64 `json:"entry-cpu-us-per-call"`
 	ServingCPU    float64 `json:"serving-cpu-us-per-call"`
 	EntryMemoryMB float64 `json:"entry-memory-mb"`
@@ -101,8 +106,11 @@
 	return f, nil
 }
 
-// Latency measures at some rates, half of the calls direct and half through two
-// nodes, in turns.
+// ways is how many ways calls take in turns: through two nodes, direct, and
+// through two relays that decide nothing.
+const ways = 3
+
+// Latency measures at some rates for each way.
 func (c *Calls) Latency(ctx context.Context, rates []float64) ([]LatencyRow, error) {
 	f, err := c.start(ctx, func(*fleet.Spec) {})
 	if f != nil {
@@ -112,13 +120,17 @@
 		return nil, err
 	}
 	serving, entry := f.Members[0], f.Members[5]
+	relays := [2]string{fmt.Sprintf("127.0.0.1:%d", c.Port+90), fmt.Sprintf("127.0.0.1:%d", c.Port+91)}
+	if err := f.StartRelay("relay-1", relays[0], relays[1]); err != nil {
+		return nil, err
+	}
+	if err := f.StartRelay("relay-2", relays[1], serving.Upstream); err != nil {
+		return nil, err
+	}
 	var rows []LatencyRow
 	for _, rate := range rates {
 		next := func(i int) load.Call {
-			address := entry.Calls
-			if i%2 == 0 {
-				address = serving.Upstream
-			}
+			address := [ways]string{entry.Calls, serving.Upstream, relays[0]}[i%ways]
 			return load.Call{
 				Method:  "GET",
 				Address: address,
@@ -128,7 +140,7 @@
 			}
 		}
 		warm := &load.Run{
-			PerSecond: 2 * rate,
+			PerSecond: ways * rate,
 			FromSend:  true,
 			Span:      time.Second,
 			Timeout:   time.Second,
@@ -137,13 +149,13 @@
 		warm.Do(ctx)
 		entryCPU, servingCPU := f.CPU(entry.Name), f.CPU(serving.Name)
 		run := &load.Run{
-			PerSecond: 2 * rate,
+			PerSecond: ways * rate,
 			FromSend:  true,
 			Span:      c.Span,
 			Timeout:   time.Second,
 			Next:      next,
 		}
-		row := latencyRow(run.Do(ctx), serving.Upstream)
+		row := latencyRow(run.Do(ctx), serving.Upstream, relays[0])
 		calls := rate * c.Span.Seconds()
 		row.PerSecond, row.Trace = rate, c.Trace
 		row.EntryCPU = float64((f.CPU(entry.Name) - entryCPU).Microseconds()) / calls
@@ -154,12 +166,15 @@
 	return rows, nil
 }
 
-func latencyRow(result *load.Result, upstream string) LatencyRow {
-	direct, through := load.NewResult(), load.NewResult()
+func latencyRow(result *load.Result, upstream, relay string) LatencyRow {
+	direct, relayed, through := load.NewResult(), load.NewResult(), load.NewResult()
 	for _, e := range result.Endings {
 		side := through
-		if e.Call.Address == upstream {
+		switch e.Call.Address {
+		case upstream:
 			side = direct
+		case relay:
+			side = relayed
 		}
 		if e.Outcome == "done" {
 			_ = side.Latencies.RecordValue(max(1, e.Took.Microseconds()))
@@ -171,11 +186,15 @@
 	row := LatencyRow{
 		DirectP50:  micros(direct, 50),
 		DirectP99:  micros(direct, 99),
+		RelayedP50: micros(relayed, 50),
+		RelayedP99: micros(relayed, 99),
 		ThroughP50: micros(through, 50),
 		ThroughP99: micros(through, 99),
 	}
 	row.AddedP50 = row.ThroughP50 - row.DirectP50
 	row.AddedP99 = row.ThroughP99 - row.DirectP99
+	row.DecidedP50 = row.ThroughP50 - row.RelayedP50
+	row.DecidedP99 = row.ThroughP99 - row.RelayedP99
 	return row
 }
 
--- a/bench/spread.go
+++ b/bench/spread.go
@@ -37,6 +37,7 @@
 	FanOut    int
 	Flush     time.Duration
 	Beat      time.Duration
+	Term      time.Duration
 	// Event is what happens in the middle: none, hub-loss, cut, herd or churn.
 	Event string
 	Bin   string
@@ -57,6 +58,8 @@
 	Services       int     `json:"services"`
 	PerSecond      float64 `json:"changes-per-second"`
 	FlushMillis    int64   `json:"flush-ms"`
+	BeatMillis     int64   `json:"beat-ms"`
+	TermMillis     int64   `json:"term-ms"`
 	FanOut         int     `json:"fan-out"`
 	Event          string  `json:"event"`
 	Changes        int     `json:"changes"`
@@ -175,8 +178,8 @@
 		Regions: regionDelay,
 	}
 	tuning := setup.Defaults().Tuning
-	tuning.FanOut, tuning.Flush, tuning.Beat = s.FanOut, s.Flush, s.Beat
-	tuning.Lapse = max(tuning.Lapse, 4*s.Beat)
+	tuning.FanOut, tuning.Flush, tuning.Beat, tuning.Term = s.FanOut, s.Flush, s.Beat, s.Term
+	tuning.Lapse = 4 * s.Beat
 	fleetOf := &swarm.Swarm{
 		Nodes:     s.Nodes,
 		Services:  s.Services,
@@ -217,6 +220,8 @@
 		Services:    s.Services,
 		PerSecond:   s.PerSecond,
 		FlushMillis: s.Flush.Milliseconds(),
+		BeatMillis:  s.Beat.Milliseconds(),
+		TermMillis:  s.Term.Milliseconds(),
 		FanOut:      s.FanOut,
 		Event:       s.Event,
 	}
--- a/node/calls.go
+++ b/node/calls.go
@@ -1,9 +1,9 @@
 package node
 
 import (
+	"bytes"
 	"math"
 	"strconv"
-	"strings"
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
@@ -177,12 +177,6 @@
 	return cyclam.ReasonLost
 }
 
-// hopHeaders are not passed on; the library writes its own.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding",
-	"Upgrade", "Content-Length", "Date", "Server", headerOutcome, headerReason,
-}
-
 // copyAnswer copies an answer out of the library's memory.
 func copyAnswer(resp *fasthttp.Response) cyclam.Answer {
 	answer := cyclam.Answer{
@@ -190,7 +184,7 @@
 		Body:   append([]byte(nil), resp.Body()...),
 	}
 	for name, value := range resp.Header.All() {
-		if passes(string(name)) {
+		if passes(name) {
 			answer.Headers = append(answer.Headers, cyclam.Header{
 				Name:  string(name),
 				Value: string(value),
@@ -200,22 +194,22 @@
 	return answer
 }
 
-func passes(name string) bool {
-	if strings.HasPrefix(name, internalPrefix) {
+// passes reports whether a header field, in its normal case, is passed on. Those
+// of one connection are not, nor those that the library or the node writes.
+func passes(name []byte) bool {
+	switch string(name) {
+	case "Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding",
+		"Upgrade", "Content-Length", "Date", "Server", headerOutcome, headerReason:
 		return false
+	default:
+		return !bytes.HasPrefix(name, []byte(internalPrefix))
 	}
-	for _, hop := range hopHeaders {
-		if strings.EqualFold(name, hop) {
-			return false
-		}
-	}
-	return true
 }
 
 func stripInternal(header *fasthttp.RequestHeader) {
 	var drop []string
 	for name := range header.All() {
-		if strings.HasPrefix(string(name), internalPrefix) {
+		if bytes.HasPrefix(name, []byte(internalPrefix)) {
 			drop = append(drop, string(name))
 		}
 	}
--- a/stand/fleet/fleet.go
+++ b/stand/fleet/fleet.go
@@ -90,6 +90,13 @@
 	return err
 }
 
+// StartRelay starts a relay that forwards to an address.
+func (f *Fleet) StartRelay(name, listen, to string) error {
+	cmd, err := f.start(name, "stand-relay", "-listen", listen, "-to", to)
+	f.others = append(f.others, cmd)
+	return err
+}
+
 // StartNode writes a member's settings and starts its node.
 func (f *Fleet) StartNode(m Member) error {
 	path := filepath.Join(f.Dir, m.Name+".json")
