--- a/node/calls.go
+++ b/node/calls.go
@@ -59,6 +59,9 @@
 	n.countCall(verdict, start)
 	span.End(attribute.String("outcome", verdict.Outcome.String()))
 	writeCallAnswer(ctx, verdict)
+	if n.leaving.Load() {
+		ctx.SetConnectionClose()
+	}
 }
 
 // runCall performs a call's effects until one of them is its end.
@@ -110,6 +113,7 @@
 	defer fasthttp.ReleaseRequest(out)
 	defer fasthttp.ReleaseResponse(resp)
 	req.CopyTo(out)
+	out.UseHostHeader = true
 	out.SetHost(e.Endpoint.Data)
 	span := n.tracer.Hop("attempt", &out.Header)
 	out.Header.Set(headerAttempt, e.Attempt.String())
--- a/node/node.go
+++ b/node/node.go
@@ -55,6 +55,7 @@
 	cancelCh map[cyclam.AttemptID][]chan bool
 	ctx      context.Context
 
+	leaving  atomic.Bool
 	nextCall atomic.Uint64
 	nextLink atomic.Uint64
 }
@@ -217,6 +218,7 @@
 
 // Stop begins a planned stop; Run returns once nothing is in flight.
 func (n *Node) Stop() {
+	n.leaving.Store(true)
 	n.mu.Lock()
 	n.stopping = true
 	started := n.started
--- a/node/work.go
+++ b/node/work.go
@@ -89,6 +89,7 @@
 	req.CopyTo(out)
 	span := n.tracer.Hop("upstream", &out.Header)
 	stripInternal(&out.Header)
+	out.UseHostHeader = true
 	out.SetHost(n.Settings.Upstream.Address)
 	out.Header.Set(headerAttempt, e.Attempt.String())
 	out.Header.Set(headerTimeout, time.Until(e.Deadline).Round(time.Microsecond).String())
