A herd whose hub is gone spares the platform; tombstones are pruned; more tests

Cause: procs.TestHerd counted 241 to 299 reads for nine nodes in about 5 s, as every node without a parent read up to three claims every 300 ms; a data centre of 1,357 nodes would ask 13,600 times a second. A claim that was read is now read again only when it can have lapsed, spread over a third of a term; meanwhile the known holder is dialled. A node with a makeshift parent asks every 5 s.

--- /dev/null
+++ b/cyclam_test.go
@@ -0,0 +1,80 @@
+package cyclam_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
+)
+
+func TestNewer(t *testing.T) {
+	base := cyclam.Endpoint{
+		Identity: cyclam.Identity{
+			Instance:    "a",
+			Incarnation: 2,
+		},
+		Sequence: 5,
+		State:    cyclam.EndpointReady,
+	}
+	reborn := base
+	reborn.Incarnation, reborn.Sequence = 3, 1
+	for name, test := range map[string]struct {
+		e, o cyclam.Endpoint
+		want bool
+	}{
+		"itself":           {base, base, false},
+		"next sequence":    {base.Bumped(), base, true},
+		"earlier sequence": {base, base.Bumped(), false},
+		"gone":             {base.WithState(cyclam.EndpointGone), base, true},
+		"refuted":          {base.Bumped(), base.WithState(cyclam.EndpointGone), true},
+		"reborn":           {reborn, base.WithState(cyclam.EndpointGone), true},
+		"former process":   {base.Bumped(), reborn, false},
+	} {
+		if got := test.e.Newer(test.o); got != test.want {
+			t.Errorf("%s: got %v, want %v", name, got, test.want)
+		}
+	}
+}
+
+func ExamplePlacementRule_Allows() {
+	rule := cyclam.PlacementRule{
+		Service: "cutorder",
+		Regions: []cyclam.Region{"north"},
+	}
+	fmt.Println(rule.Allows(cyclam.Place{
+		Region:     "north",
+		DataCentre: "north-a",
+	}))
+	fmt.Println(rule.Allows(cyclam.Place{
+		Region:     "south",
+		DataCentre: "south-a",
+	}))
+	// Output:
+	// true
+	// false
+}
+
+func ExampleAtStep() {
+	err := cyclam.AtStep("put head/accepted", "127.0.0.1:8000", cyclam.ErrConflict)
+	fmt.Println(err)
+	fmt.Println(errors.Is(err, cyclam.ErrConflict))
+	// Output:
+	// put head/accepted at 127.0.0.1:8000: object was changed by another writer
+	// true
+}
+
+// FuzzParseAttemptID feeds header values of a broken peer.
+func FuzzParseAttemptID(f *testing.F) {
+	f.Add("stockview-1/17/4")
+	f.Add("//")
+	f.Fuzz(func(t *testing.T, text string) {
+		id, ok := cyclam.ParseAttemptID(text)
+		if !ok {
+			return
+		}
+		if again, ok := cyclam.ParseAttemptID(id.String()); !ok || again != id {
+			t.Errorf("got %v, want %v", again, id)
+		}
+	})
+}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -55,6 +55,9 @@
 	return c.revision == 0 || now.Sub(c.since) >= c.Term
 }
 
+// LapsesAt returns when the claim may be taken over if it does not change.
+func (c Claim) LapsesAt() time.Time { return c.since.Add(c.Term) }
+
 // Next returns the operation that is due, and marks it as under way. An
 // observer reads on demand; a holder renews at a third of the term.
 func (c Claim) Next(now time.Time) (Claim, Op) {
--- a/node/calls.go
+++ b/node/calls.go
@@ -42,8 +42,7 @@
 	span := n.tracer.Hop("call", &ctx.Request.Header)
 	deadline, err := callerDeadline(ctx, start)
 	if err != nil {
-		ctx.Response.Header.Set(headerOutcome, cyclam.NotRun.String())
-		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		refuse(ctx, err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
 	verdict := n.runCall(ctx, cyclam.CallArrived{
@@ -302,7 +301,12 @@
 	case errors.As(err, &small):
 		status = fasthttp.StatusRequestHeaderFieldsTooLarge
 	}
-	ctx.Error(err.Error(), status)
-	ctx.Response.Header.Set(headerOutcome, cyclam.NotRun.String())
+	refuse(ctx, err.Error(), status)
 	ctx.SetConnectionClose()
 }
+
+// refuse answers a request that was not understood, and so was not run.
+func refuse(ctx *fasthttp.RequestCtx, reason string, status int) {
+	ctx.Error(reason, status)
+	ctx.Response.Header.Set(headerOutcome, cyclam.NotRun.String())
+}
--- a/node/work.go
+++ b/node/work.go
@@ -22,8 +22,7 @@
 	attempt, ok := cyclam.ParseAttemptID(string(header.Peek(headerAttempt)))
 	remaining, err := strconv.ParseInt(string(header.Peek(headerRemaining)), 10, 64)
 	if !ok || err != nil {
-		ctx.Response.Header.Set(headerOutcome, cyclam.NotRun.String())
-		ctx.Error("attempt or deadline header is malformed", fasthttp.StatusBadRequest)
+		refuse(ctx, "attempt or deadline header is malformed", fasthttp.StatusBadRequest)
 		return
 	}
 	span := n.tracer.Hop("work", header)
--- a/oper/app.go
+++ b/oper/app.go
@@ -96,9 +96,7 @@
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		OnUsageError:   usageError,
-		CommandNotFound: func(_ context.Context, _ *cli.Command, name string) {
-			fmt.Fprintf(a.Err, "unknown command %q, see cyclamensaddle --help\n", name)
-		},
+		Action:         unknownCommand,
 	}
 	for _, command := range root.Commands {
 		command.OnUsageError = usageError
@@ -106,6 +104,14 @@
 	return root
 }
 
+// unknownCommand refuses a word that is no command; without one it shows help.
+func unknownCommand(_ context.Context, c *cli.Command) error {
+	if name := c.Args().First(); name != "" {
+		return coded(ExitUsage, errors.Errorf("unknown command %q, see cyclamensaddle --help", name))
+	}
+	return cli.ShowAppHelp(c)
+}
+
 func usageError(_ context.Context, _ *cli.Command, err error, _ bool) error {
 	return coded(ExitUsage, err)
 }
--- a/oper/oper_test.go
+++ b/oper/oper_test.go
@@ -47,6 +47,7 @@
 		code  int
 		want  string
 	}{
+		"unknown command":   {"", []string{"frobnicate"}, ExitUsage, `unknown command "frobnicate"`},
 		"version":           {"", []string{"version"}, 0, "cyclamensaddle " + Version},
 		"get all":           {"", []string{"get"}, 0, "placement-rule"},
 		"get one":           {"", []string{"get", "route", "stock"}, 0, `"path-prefix": "/stock"`},
--- /dev/null
+++ b/roster/roster_test.go
@@ -0,0 +1,80 @@
+package roster
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func endpoint(name, parent string, sequence uint64, state cyclam.EndpointState) cyclam.Endpoint {
+	return cyclam.Endpoint{
+		Identity: cyclam.Identity{
+			Instance:    cyclam.InstanceName(name),
+			Incarnation: 1,
+		},
+		Sequence: sequence,
+		State:    state,
+		Service:  "stockview",
+		Parent:   cyclam.InstanceName(parent),
+	}
+}
+
+// TestAnyOrderGivesOneView feeds announcements in two orders, some twice.
+func TestAnyOrderGivesOneView(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := rapid.Custom(func(t *rapid.T) cyclam.Endpoint {
+			return endpoint(
+				fmt.Sprint("n", rapid.IntRange(0, 5).Draw(t, "name")), "",
+				rapid.Uint64Range(1, 4).Draw(t, "sequence"),
+				cyclam.EndpointState(rapid.IntRange(1, 4).Draw(t, "state")),
+			)
+		})
+		news := rapid.SliceOf(draw).Draw(t, "news")
+		a, b := New(), New()
+		for _, e := range news {
+			a, _ = a.With(start, e)
+		}
+		for _, e := range append(rapid.Permutation(news).Draw(t, "order"), news...) {
+			b, _ = b.With(start, e)
+		}
+		if a.Total() != b.Total() || *a.Sums() != *b.Sums() || fmt.Sprint(a.All()) != fmt.Sprint(b.All()) {
+			t.Fatalf("got %v, want %v", b.All(), a.All())
+		}
+		if got, want := len(a.Service("stockview")), a.Live(); got != want {
+			t.Fatalf("got %d endpoints listed, want %d", got, want)
+		}
+	})
+}
+
+// TestBelow covers a rack whose top takes everything under it along.
+func TestBelow(t *testing.T) {
+	r := New()
+	for _, e := range [][2]string{{"hub", ""}, {"a", "hub"}, {"b", "a"}, {"c", "b"}, {"d", "hub"}} {
+		r, _ = r.With(start, endpoint(e[0], e[1], 1, cyclam.EndpointReady))
+	}
+	r, _ = r.With(start, endpoint("c", "d", 2, cyclam.EndpointReady))
+	var got []cyclam.InstanceName
+	for _, e := range r.Below("a") {
+		got = append(got, e.Instance)
+	}
+	if want := "[a b]"; fmt.Sprint(got) != want {
+		t.Errorf("got %v, want %s", got, want)
+	}
+}
+
+// TestTombstones covers an endpoint that is gone: older news does not bring it
+// back until long after.
+func TestTombstones(t *testing.T) {
+	r, _ := New().With(start, endpoint("a", "", 1, cyclam.EndpointGone))
+	if _, news := r.Pruned(start.Add(time.Hour)).With(start, endpoint("a", "", 1, cyclam.EndpointReady)); news {
+		t.Error("got it back after an hour, want it gone")
+	}
+	if got, want := r.Pruned(start.Add(TombstoneAge+time.Hour)).Len(), 0; got != want {
+		t.Errorf("got %d entries in the end, want %d", got, want)
+	}
+}
--- a/tree/loss.go
+++ b/tree/loss.go
@@ -112,6 +112,19 @@
 	return s, effects
 }
 
+// prunePause is the time between two looks for tombstones to forget.
+const prunePause = time.Hour
+
+// prune forgets endpoints that have long been gone.
+func (s State) prune(now time.Time) (State, []cyclam.Effect) {
+	if now.Sub(s.pruned) < prunePause {
+		return s, nil
+	}
+	s.pruned = now
+	s.Roster = s.Roster.Pruned(now)
+	return s, nil
+}
+
 // dropSilent closes links on which nothing was heard for too long.
 func (s State) dropSilent(now time.Time) (State, []cyclam.Effect) {
 	var silent []link
--- a/tree/reduce.go
+++ b/tree/reduce.go
@@ -55,6 +55,7 @@
 		State.search,
 		State.beat,
 		State.flush,
+		State.prune,
 	}
 	var effects []cyclam.Effect
 	for _, step := range steps {
--- a/tree/seek.go
+++ b/tree/seek.go
@@ -13,7 +13,14 @@
 const (
 	dialLimit     = time.Second
 	searchPause   = 300 * time.Millisecond
+	redialPause   = time.Second
 	fallbackPause = time.Second
+	// makeshiftPause is between two looks at the platform by a node that has
+	// found a parent without it.
+	makeshiftPause = 5 * time.Second
+	// rereadShare is the share of a term over which observers of one claim
+	// spread their reads once it may have lapsed.
+	rereadShare = 3
 	// fallbackTries is how many peers are tried between two reads of a claim
 	// while the platform does not answer.
 	fallbackTries = 3
@@ -29,6 +36,9 @@
 	want cyclam.Role
 	// known is set once the target's claim has been read in this search.
 	known bool
+	// reread is when the target's claim is worth reading again: not before it
+	// can have lapsed.
+	reread time.Time
 	// fallback is set once the platform has not answered in this search.
 	fallback bool
 	failed   int
@@ -107,6 +117,9 @@
 
 // consult reads the target's claim, or takes it over when it has lapsed.
 func (s State) consult(now time.Time, target cyclam.Role) (State, []cyclam.Effect) {
+	if now.Before(s.seek.reread) {
+		return s.redial(now, target)
+	}
 	claim, op := s.claims[target].Seek(now, s.seek.known && s.mayTake(now, target))
 	s = s.withClaim(target, claim)
 	s.rand, s.seek.next = s.pause(now, searchPause)
@@ -117,6 +130,20 @@
 	return s, effects
 }
 
+// redial tries the known holder again; a herd of nodes whose hub is gone must
+// not ask the platform meanwhile.
+func (s State) redial(now time.Time, target cyclam.Role) (State, []cyclam.Effect) {
+	s.rand, s.seek.next = s.pause(now, redialPause)
+	holder, _ := s.claims[target].Holder()
+	if holder.Holder.Instance == s.Self.Instance {
+		return s, nil
+	}
+	return s.dial(now, candidate{
+		address: holder.Control,
+		want:    target,
+	})
+}
+
 // observeAbove also reads the claims above the target, so that their terms run
 // at the same time as the target's.
 func (s State) observeAbove(now time.Time, target cyclam.Role, effects []cyclam.Effect) (State, []cyclam.Effect) {
@@ -190,10 +217,14 @@
 		s.seek = seek{}
 		s, effects = s.leaveParent(effects, "platform answers again")
 	}
-	s.seek.known = true
 	s.seek.fallback = false
 	holder, held := claim.Holder()
-	if held && !claim.Lapsed(e.Now) && holder.Holder.Instance != s.Self.Instance {
+	s.seek.known = !held || claim.Lapsed(e.Now)
+	if s.seek.known {
+		return s, effects
+	}
+	s.rand, s.seek.reread = s.pause(claim.LapsesAt(), s.Tuning.Term/rereadShare)
+	if holder.Holder.Instance != s.Self.Instance {
 		s.seek.queue = []candidate{{
 			address: holder.Control,
 			want:    e.Role,
@@ -246,6 +277,7 @@
 func (s State) fallBack(now time.Time, effects []cyclam.Effect) (State, []cyclam.Effect) {
 	s.rand, s.seek.next = s.pause(now, fallbackPause)
 	if s.parent != 0 {
+		s.rand, s.seek.next = s.pause(now, makeshiftPause)
 		return s, effects
 	}
 	s.seek.fallback = true
--- a/tree/tree.go
+++ b/tree/tree.go
@@ -90,6 +90,7 @@
 	ticked   time.Time
 	beaten   time.Time
 	flushed  time.Time
+	pruned   time.Time
 	leaving  bool
 	// acting is set while this node heads a part of the tree without a claim.
 	acting bool
