--- a/bench/run.sh
+++ b/bench/run.sh
@@ -38,6 +38,10 @@
 run cut -nodes 100 -span 24s -event cut
 run herd -nodes 100 -span 18s -event herd
 run churn -nodes 100 -span 18s -event churn
+run idle-100-beat-5s -nodes 100 -rate 0 -beat 5s
+for nodes in 20 1000 19000; do
+  run "size-$nodes" -way size -nodes $nodes -services $((nodes * 28 / 190 + 1)) -span 10s
+done
 run latency -way latency
 run latency-traced -way latency -trace 1
 run latency-sampled -way latency -trace 0.01
--- /dev/null
+++ b/bench/size.go
@@ -0,0 +1,325 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/codec"
+	"github.com/cyclamensaddle/cyclam/stand/fleet"
+	"github.com/cyclamensaddle/cyclam/store"
+	"github.com/cyclamensaddle/cyclam/wire"
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/protobuf/proto"
+)
+
+// Size measures one real node process, the root, that holds the view of a large
+// fleet: the other nodes are announced to it by one peer.
+type Size struct {
+	Endpoints int
+	Services  int
+	Span      time.Duration
+	Bin       string
+	Port      int
+}
+
+// SizeRow is what a node of a large fleet holds and spends.
+type SizeRow struct {
+	Endpoints      int     `json:"endpoints"`
+	Services       int     `json:"services"`
+	AcceptMillis   float64 `json:"first-version-ms"`
+	LearnCPUMillis float64 `json:"learn-cpu-ms"`
+	LearnBytes     int     `json:"learn-bytes"`
+	MemoryMB       float64 `json:"memory-mb"`
+	IdlePercent    float64 `json:"idle-cpu-percent"`
+	ChangePercent  float64 `json:"change-cpu-percent"`
+	ChangeMillis   float64 `json:"change-to-peer-p50-ms"`
+	ChurnPercent   float64 `json:"churn-cpu-percent"`
+	PeakMemoryMB   float64 `json:"peak-memory-mb"`
+}
+
+// newsBatch is how many endpoints the peer announces at once.
+const newsBatch = 500
+
+// The rates of the letter: changes of configuration, and announcements.
+const (
+	changesPerSecond = 0.34
+	newsPerSecond    = 0.15
+)
+
+// Run measures once.
+func (s *Size) Run(ctx context.Context) (SizeRow, error) {
+	f, m, err := s.start(ctx)
+	if f != nil {
+		defer f.Stop()
+	}
+	if err != nil {
+		return SizeRow{}, err
+	}
+	row := SizeRow{
+		Endpoints: s.Endpoints,
+		Services:  s.Services,
+	}
+	begin := time.Now()
+	if err := f.AwaitVersion(time.Minute, 1, f.Members); err != nil {
+		return row, err
+	}
+	row.AcceptMillis = millis(time.Since(begin))
+	p, err := join(ctx, m.Control)
+	if err != nil {
+		return row, err
+	}
+	if err := s.announce(f, m, p, &row); err != nil {
+		return row, err
+	}
+	row.MemoryMB = f.MemoryMB(m.Name)
+	row.IdlePercent = s.spend(f, m, &row, func(time.Duration) error { return nil }, p)
+	client := store.New(f.Platform)
+	changes := 0
+	row.ChangePercent = s.spend(f, m, &row, func(at time.Duration) error {
+		if float64(changes) > at.Seconds()*changesPerSecond {
+			return nil
+		}
+		changes++
+		begin := time.Now()
+		if err := s.change(ctx, client, changes); err != nil {
+			return err
+		}
+		return p.await(begin)
+	}, p)
+	row.ChangeMillis = millis(p.delay())
+	announced := 0
+	row.ChurnPercent = s.spend(f, m, &row, func(at time.Duration) error {
+		if float64(announced) > at.Seconds()*newsPerSecond {
+			return nil
+		}
+		announced++
+		return p.send(cyclam.News{
+			Endpoints: []cyclam.Endpoint{s.endpoint(announced, uint64(announced+1))},
+		})
+	}, p)
+	return row, nil
+}
+
+// start brings up a platform with all services and one node.
+func (s *Size) start(ctx context.Context) (*fleet.Fleet, fleet.Member, error) {
+	dir, err := os.MkdirTemp("", "cyclamensaddle-size-")
+	if err != nil {
+		return nil, fleet.Member{}, err
+	}
+	f := &fleet.Fleet{
+		Bin:  s.Bin,
+		Dir:  dir,
+		Port: s.Port,
+		Spec: fleet.Spec{
+			PlatformRegion: "north",
+			DataCentres: []fleet.Centre{{
+				Name:   "north-a",
+				Region: "north",
+			}},
+			Services: []fleet.Service{{
+				Name:        "service-0000",
+				Upstreams:   []string{"north-a"},
+				Slots:       12,
+				Connections: 120,
+			}},
+		},
+	}
+	if err := f.Prepare(); err != nil {
+		return f, fleet.Member{}, err
+	}
+	fill := &Spread{
+		Services: s.Services,
+	}
+	if err := fill.fill(ctx, store.New(f.Platform)); err != nil {
+		return f, fleet.Member{}, err
+	}
+	return f, f.Members[0], f.StartMembers()
+}
+
+// endpoint returns the i-th other node's announcement.
+func (s *Size) endpoint(i int, sequence uint64) cyclam.Endpoint {
+	return cyclam.Endpoint{
+		Identity: cyclam.Identity{
+			Instance:    cyclam.InstanceName(fmt.Sprintf("upstream-%05d", i)),
+			Incarnation: 1,
+		},
+		Sequence: sequence,
+		State:    cyclam.EndpointReady,
+		Service:  cyclam.ServiceName(fmt.Sprintf("service-%04d", i%s.Services)),
+		Place: cyclam.Place{
+			Region:     cyclam.Region(fmt.Sprintf("region-%d", i%5)),
+			DataCentre: cyclam.DataCentre(fmt.Sprintf("centre-%02d", i%14)),
+		},
+		Data:    fmt.Sprintf("10.1.%d.%d:7001", i/250, i%250),
+		Control: fmt.Sprintf("10.1.%d.%d:7002", i/250, i%250),
+		Slots:   12,
+		Parent:  "peer",
+	}
+}
+
+// announce tells the node of all endpoints and waits until it knows them.
+func (s *Size) announce(f *fleet.Fleet, m fleet.Member, p *peer, row *SizeRow) error {
+	before := f.CPU(m.Name)
+	var batch []cyclam.Endpoint
+	for i := 1; i <= s.Endpoints; i++ {
+		batch = append(batch, s.endpoint(i, 1))
+		if len(batch) < newsBatch && i < s.Endpoints {
+			continue
+		}
+		if err := p.send(cyclam.News{
+			Endpoints: batch,
+		}); err != nil {
+			return err
+		}
+		batch = nil
+	}
+	err := fleet.Eventually(time.Minute, func() error {
+		status, err := f.NodeStatus(m)
+		if err == nil && status.Endpoints < s.Endpoints {
+			err = errors.Errorf("knows %d endpoints", status.Endpoints)
+		}
+		return err
+	})
+	row.LearnCPUMillis = millis(f.CPU(m.Name) - before)
+	row.LearnBytes = p.sent
+	return err
+}
+
+// spend lets the node go on for the span and returns its share of a core.
+func (s *Size) spend(f *fleet.Fleet, m fleet.Member, row *SizeRow, act func(time.Duration) error, p *peer) float64 {
+	begin, cpu := time.Now(), f.CPU(m.Name)
+	for i := 0; time.Since(begin) < s.Span; i++ {
+		if i%5 == 0 {
+			_ = p.send(cyclam.Beat{
+				Version: cyclam.Version(p.latest.Load()),
+			})
+		}
+		if err := act(time.Since(begin)); err != nil {
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+		row.PeakMemoryMB = max(row.PeakMemoryMB, f.MemoryMB(m.Name))
+	}
+	return (f.CPU(m.Name) - cpu).Seconds() / time.Since(begin).Seconds() * 100
+}
+
+// change writes a route, and notes when.
+func (s *Size) change(ctx context.Context, client cyclam.Platform, i int) error {
+	o := resources(i%s.Services, 2000+i)[1]
+	stored, err := client.Get(ctx, o.Key())
+	if err != nil {
+		return err
+	}
+	o.Revision = stored.Revision
+	_, err = client.Put(ctx, o)
+	return err
+}
+
+// peer is a child of the node that stands for the rest of the fleet.
+type peer struct {
+	stream grpc.BidiStreamingClient[wire.Envelope, wire.Envelope]
+	sent   int
+	seen   chan time.Time
+	latest atomic.Uint64
+	delays *hdrhistogram.Histogram
+}
+
+// await waits for the next version and records how long it took since begin.
+func (p *peer) await(begin time.Time) error {
+	select {
+	case at := <-p.seen:
+		return p.delays.RecordValue(max(1, at.Sub(begin).Microseconds()))
+	case <-time.After(10 * time.Second):
+		return errors.New("no version came")
+	}
+}
+
+// delay returns the median time from the write of a change to its arrival.
+func (p *peer) delay() time.Duration {
+	return time.Duration(p.delays.ValueAtQuantile(50)) * time.Microsecond
+}
+
+func (p *peer) saw(version cyclam.Version) {
+	p.latest.Store(uint64(version))
+	p.seen <- time.Now()
+}
+
+// join links a peer to the node and waits for its welcome.
+func join(ctx context.Context, address string) (*peer, error) {
+	conn, err := grpc.NewClient(address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		return nil, err
+	}
+	stream, err := wire.NewPeerClient(conn).Link(ctx)
+	if err != nil {
+		return nil, err
+	}
+	p := &peer{
+		stream: stream,
+		seen:   make(chan time.Time, 1000),
+		delays: hdrhistogram.New(1, 60_000_000, 3),
+	}
+	self := cyclam.Endpoint{
+		Identity: cyclam.Identity{
+			Instance:    "peer",
+			Incarnation: 1,
+		},
+		Sequence: 1,
+		State:    cyclam.EndpointReady,
+		Service:  "service-0000",
+		Place: cyclam.Place{
+			Region:     "north",
+			DataCentre: "north-a",
+		},
+		Control: "10.1.255.1:7002",
+	}
+	if err := p.send(cyclam.Hello{
+		Self: self,
+	}); err != nil {
+		return nil, err
+	}
+	go p.receive()
+	select {
+	case <-p.seen:
+		return p, nil
+	case <-time.After(10 * time.Second):
+		return nil, errors.New("no welcome")
+	}
+}
+
+func (p *peer) send(message cyclam.Message) error {
+	envelope, err := codec.Pack([]cyclam.Message{message})
+	if err != nil {
+		return err
+	}
+	p.sent += proto.Size(envelope)
+	return p.stream.Send(envelope)
+}
+
+func (p *peer) receive() {
+	for {
+		envelope, err := p.stream.Recv()
+		if err != nil {
+			return
+		}
+		messages, err := codec.Unpack(envelope)
+		if err != nil {
+			return
+		}
+		for _, message := range messages {
+			switch m := message.(type) {
+			case cyclam.Welcome:
+				p.saw(m.Version)
+			case cyclam.Deltas:
+				p.saw(m.Deltas[len(m.Deltas)-1].To)
+			}
+		}
+	}
+}
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -16,7 +16,7 @@
 
 func main() {
 	s := &bench.Spread{}
-	way := flag.String("way", "tree", "tree or watch (distribution), latency, or overload")
+	way := flag.String("way", "tree", "tree or watch (distribution), latency, overload, or size")
 	flag.IntVar(&s.Nodes, "nodes", 20, "nodes")
 	flag.IntVar(&s.Services, "services", 20, "services, each with a route and a rule")
 	flag.Float64Var(&s.PerSecond, "rate", 1, "changes per second")
@@ -55,6 +55,16 @@
 	switch *way {
 	case "latency":
 		err = printRows(calls.Latency(context.Background(), []float64{74, 500, 1000}))
+	case "size":
+		size := &bench.Size{
+			Endpoints: s.Nodes,
+			Services:  s.Services,
+			Span:      s.Span,
+			Bin:       s.Bin,
+			Port:      s.Port,
+		}
+		row, runErr := size.Run(context.Background())
+		err = printRows([]bench.SizeRow{row}, runErr)
 	case "overload":
 		err = printRows(calls.Goodput(context.Background(), []float64{0.5, 1, 2, 4}))
 	default:
--- a/procs/procs_test.go
+++ b/procs/procs_test.go
@@ -49,7 +49,9 @@
 
 var nextPort = 23000
 
-func newSite(t *testing.T) *site {
+func newSite(t *testing.T) *site { return newTracedSite(t, nil) }
+
+func newTracedSite(t *testing.T, trace map[string]any) *site {
 	t.Helper()
 	spec, err := fleet.ReadSpec("../samples/harrowgate/fleet.json")
 	if err != nil {
@@ -58,10 +60,11 @@
 	s := &site{
 		t: t,
 		Fleet: &fleet.Fleet{
-			Spec: spec,
-			Bin:  bin,
-			Dir:  t.TempDir(),
-			Port: nextPort,
+			Spec:  spec,
+			Bin:   bin,
+			Dir:   t.TempDir(),
+			Trace: trace,
+			Port:  nextPort,
 		},
 	}
 	nextPort += 100
--- a/stand/fleet/fleet.go
+++ b/stand/fleet/fleet.go
@@ -38,15 +38,25 @@
 
 // Start starts the platform, all upstreams and all nodes.
 func (f *Fleet) Start() error {
+	if err := f.Prepare(); err != nil {
+		return err
+	}
+	return f.StartMembers()
+}
+
+// Prepare lays out the members and starts the platform.
+func (f *Fleet) Prepare() error {
 	f.Members = f.Spec.Members(f.Port)
 	f.Platform = local(f.Port)
 	f.nodes = map[string]*exec.Cmd{}
 	if f.Trace == nil {
 		f.Trace = map[string]any{}
 	}
-	if err := f.StartPlatform(); err != nil {
-		return err
-	}
+	return f.StartPlatform()
+}
+
+// StartMembers starts all upstreams and all nodes.
+func (f *Fleet) StartMembers() error {
 	for _, m := range f.Members {
 		if err := f.startUpstream(m); err != nil {
 			return err
@@ -113,7 +123,7 @@
 }
 
 func (f *Fleet) settings(m Member) map[string]any {
-	var seeds []string
+	seeds := []string{}
 	for _, o := range f.Members {
 		if o.Name != m.Name && len(seeds) < 4 {
 			seeds = append(seeds, o.Control)
@@ -131,11 +141,18 @@
 		"upstream": upstream,
 		"platform": map[string]any{"address": f.Platform, "region": f.Spec.PlatformRegion},
 		"seeds":    seeds,
-		"tuning":   f.Spec.Tuning,
+		"tuning":   tuning(f.Spec.Tuning),
 		"trace":    f.Trace,
 	}
 }
 
+func tuning(values map[string]any) map[string]any {
+	if values == nil {
+		return map[string]any{}
+	}
+	return values
+}
+
 func (f *Fleet) start(name, program string, args ...string) (*exec.Cmd, error) {
 	logFile, err := os.OpenFile(filepath.Join(f.Dir, name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
 	if err != nil {
