--- a/bench/spread.go
+++ b/bench/spread.go
@@ -10,7 +10,6 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -18,7 +17,6 @@
 	"github.com/cyclamensaddle/cyclam/setup"
 	"github.com/cyclamensaddle/cyclam/stand/fleet"
 	"github.com/cyclamensaddle/cyclam/stand/netem"
-	"github.com/cyclamensaddle/cyclam/stand/objapi"
 	"github.com/cyclamensaddle/cyclam/stand/swarm"
 	"github.com/cyclamensaddle/cyclam/store"
 	"github.com/hashicorp/go-hclog"
@@ -269,148 +267,6 @@
 	return changes, <-event, nil
 }
 
-// happen brings the event about and returns how long its mending took.
-func (s *Spread) happen(ctx context.Context, f *swarm.Swarm, network *netem.Network) time.Duration {
-	begin := time.Now()
-	switch s.Event {
-	case "hub-loss":
-		for i, m := range f.Members() {
-			if m.Node.Status().Role == cyclam.RoleHub {
-				f.Kill(i)
-				defer f.Restart(ctx, i)
-				break
-			}
-		}
-		s.awaitAttached(f)
-	case "root-loss":
-		for i, m := range f.Members() {
-			if m.Node.Status().Role == cyclam.RoleRoot {
-				f.Kill(i)
-				defer f.Restart(ctx, i)
-				break
-			}
-		}
-		s.awaitAttached(f)
-	case "cut":
-		network.Cut()
-		time.Sleep(s.Span / 3)
-		network.Heal()
-		begin = time.Now()
-		s.awaitSame(f)
-	case "herd":
-		var group sync.WaitGroup
-		for i := 2; i < s.Nodes; i += 2 {
-			group.Go(func() { f.Kill(i) })
-		}
-		group.Wait()
-		begin = time.Now()
-		for i := 2; i < s.Nodes; i += 2 {
-			f.Restart(ctx, i)
-		}
-		_ = f.Await(time.Minute, 1)
-	case "churn":
-		for i := range 10 {
-			f.Restart(ctx, (7*i+3)%s.Nodes)
-			time.Sleep(s.Span / 30)
-		}
-	}
-	return time.Since(begin)
-}
-
-func (s *Spread) awaitAttached(f *swarm.Swarm) {
-	_ = fleet.Eventually(time.Minute, func() error {
-		root := false
-		for _, m := range f.Members() {
-			status := m.Node.Status()
-			root = root || status.Role == cyclam.RoleRoot
-			if !status.Attached {
-				return errors.New("not attached")
-			}
-		}
-		if !root {
-			return errors.New("no root")
-		}
-		return nil
-	})
-}
-
-func (s *Spread) awaitSame(f *swarm.Swarm) {
-	_ = fleet.Eventually(time.Minute, func() error {
-		low, high := cyclam.Version(1<<62), cyclam.Version(0)
-		for _, m := range f.Members() {
-			version := m.Node.Status().Version
-			low, high = min(low, version), max(high, version)
-		}
-		if high-low > 2 {
-			return errors.New("versions differ")
-		}
-		return nil
-	})
-}
-
-// use measures what the process and the platform spend over a span.
-type use struct {
-	platform string
-	count    func(string) int64
-	began    time.Time
-	cpu      time.Duration
-	bytes    int64
-	link     int64
-	stats    objapi.Stats
-}
-
-func startUse(platform string, count func(string) int64) use {
-	return use{
-		platform: platform,
-		count:    count,
-		began:    time.Now(),
-		cpu:      cpuTime(),
-		bytes:    count("control-bytes-out"),
-		link:     count("control-bytes-cross-region"),
-		stats:    platformStats(platform),
-	}
-}
-
-func (u use) finish(row *Row, nodes, changes int) {
-	span := time.Since(u.began).Seconds()
-	each := float64(nodes)
-	bytes := float64(u.count("control-bytes-out") - u.bytes)
-	row.BytesPerSecond = bytes / span / each
-	row.BytesPerChange = bytes / each / float64(max(changes, 1))
-	row.LinkPerSecond = float64(u.count("control-bytes-cross-region")-u.link) / span
-	row.CPUPercent = (cpuTime() - u.cpu).Seconds() / span / each * 100
-	row.MemoryMB = residentMB() / each
-	stats := platformStats(u.platform)
-	row.PlatformReads = float64(stats.Reads-u.stats.Reads) / span
-	row.PlatformWrites = float64(stats.Writes-u.stats.Writes) / span
-	row.Watches = stats.Waiting
-}
-
-func platformStats(address string) objapi.Stats {
-	var stats objapi.Stats
-	if body, err := fleet.Get("http://" + address + "/stats"); err == nil {
-		_ = json.Unmarshal(body, &stats)
-	}
-	return stats
-}
-
-func cpuTime() time.Duration {
-	var r syscall.Rusage
-	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &r)
-	return time.Duration(r.Utime.Nano() + r.Stime.Nano())
-}
-
-// residentMB returns the process's resident memory in megabytes.
-func residentMB() float64 {
-	data, err := os.ReadFile("/proc/self/statm")
-	if err != nil {
-		return 0
-	}
-	var size, resident int64
-	_, _ = fmt.Sscan(string(data), &size, &resident)
-	return float64(resident*int64(os.Getpagesize())) / (1 << 20)
-}
-
 // logger writes the nodes' decisions to standard error where that is asked for.
 func (s *Spread) logger() hclog.Logger {
 	if !s.Verbose {
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -158,52 +158,105 @@
 	return settings, append(faults, settings.check()...)
 }
 
+// place is an address in the settings and where it stands there.
+type place struct {
+	path    string
+	address string
+}
+
+// check finds the faults that concern several fields.
 func (s Settings) check() []strict.Fault {
-	var faults []strict.Fault
-	add := func(path, reason string) {
-		faults = append(faults, strict.Fault{
-			Path:   path,
-			Reason: reason,
-		})
+	faults := s.checkAddresses()
+	faults = append(faults, s.checkLimits()...)
+	switch s.Log.Level {
+	case "trace", "debug", "info", "warn", "error":
+	default:
+		faults = append(faults, fault("log.level", "got \""+s.Log.Level+"\", want trace, debug, info, warn or error"))
+	}
+	return faults
+}
+
+func fault(path, reason string) strict.Fault {
+	return strict.Fault{
+		Path:   path,
+		Reason: reason,
 	}
-	addresses := []struct{ path, address string }{
-		{"listen.calls", s.Listen.Calls},
-		{"listen.data", s.Listen.Data},
-		{"listen.control", s.Listen.Control},
-		{"listen.admin", s.Listen.Admin},
-		{"upstream.address", s.Upstream.Address},
-		{"platform.address", s.Platform.Address},
-		{"trace.otlp", s.Trace.OTLP},
+}
+
+// listens lists the node's own addresses.
+func (s Settings) listens() []place {
+	return []place{
+		{
+			path:    "listen.calls",
+			address: s.Listen.Calls,
+		},
+		{
+			path:    "listen.data",
+			address: s.Listen.Data,
+		},
+		{
+			path:    "listen.control",
+			address: s.Listen.Control,
+		},
+		{
+			path:    "listen.admin",
+			address: s.Listen.Admin,
+		},
+	}
+}
+
+// others lists the addresses that the node connects to.
+func (s Settings) others() []place {
+	out := []place{
+		{
+			path:    "upstream.address",
+			address: s.Upstream.Address,
+		},
+		{
+			path:    "platform.address",
+			address: s.Platform.Address,
+		},
+		{
+			path:    "trace.otlp",
+			address: s.Trace.OTLP,
+		},
 	}
 	for i, seed := range s.Seeds {
-		addresses = append(addresses, struct{ path, address string }{"seeds[" + strconv.Itoa(i) + "]", seed})
+		out = append(out, place{
+			path:    "seeds[" + strconv.Itoa(i) + "]",
+			address: seed,
+		})
 	}
-	used := map[string]string{}
-	for _, a := range addresses {
-		if a.address == "" {
-			continue
-		}
-		if reason := addressFault(a.address); reason != "" {
-			add(a.path, reason)
-		}
-		if first, taken := used[a.address]; taken && len(a.path) > 6 && a.path[:6] == "listen" {
-			add(a.path, "got \""+a.address+"\", which "+first+" uses already")
+	return out
+}
+
+func (s Settings) checkAddresses() []strict.Fault {
+	var faults []strict.Fault
+	for _, p := range append(s.listens(), s.others()...) {
+		if reason := addressFault(p.address); p.address != "" && reason != "" {
+			faults = append(faults, fault(p.path, reason))
 		}
-		used[a.address] = a.path
 	}
-	if s.Tuning.Lapse < 2*s.Tuning.Beat {
-		add("tuning.lapse", "got "+s.Tuning.Lapse.String()+", want at least twice tuning.beat, "+(2*s.Tuning.Beat).String())
+	used := map[string]string{}
+	for _, p := range s.listens() {
+		if first, taken := used[p.address]; taken && p.address != "" {
+			faults = append(faults, fault(p.path, "got \""+p.address+"\", which "+first+" uses already"))
+		}
+		used[p.address] = p.path
 	}
-	if s.Tuning.EjectMax < s.Tuning.EjectBase {
-		add("tuning.eject-max", "got "+s.Tuning.EjectMax.String()+", want at least tuning.eject-base, "+s.Tuning.EjectBase.String())
+	return faults
+}
+
+func (s Settings) checkLimits() []strict.Fault {
+	var faults []strict.Fault
+	if low := 2 * s.Tuning.Beat; s.Tuning.Lapse < low {
+		faults = append(faults, fault("tuning.lapse", "got "+s.Tuning.Lapse.String()+", want at least twice tuning.beat, "+low.String()))
 	}
-	if s.Upstream.Connections < s.Upstream.Slots {
-		add("upstream.connections", "got "+strconv.Itoa(s.Upstream.Connections)+", want at least upstream.slots, "+strconv.Itoa(s.Upstream.Slots))
+	if low := s.Tuning.EjectBase; s.Tuning.EjectMax < low {
+		faults = append(faults, fault("tuning.eject-max", "got "+s.Tuning.EjectMax.String()+", want at least tuning.eject-base, "+low.String()))
 	}
-	switch s.Log.Level {
-	case "trace", "debug", "info", "warn", "error":
-	default:
-		add("log.level", "got \""+s.Log.Level+"\", want trace, debug, info, warn or error")
+	if low := s.Upstream.Slots; s.Upstream.Connections < low {
+		faults = append(faults, fault("upstream.connections", "got "+strconv.Itoa(s.Upstream.Connections)+", want at least upstream.slots, "+strconv.Itoa(low)))
 	}
 	return faults
 }
