--- a/proof/platform_test.go
+++ b/proof/platform_test.go
@@ -198,16 +198,21 @@
 			done(0, err)
 			return
 		}
-		var stored cyclam.Object
-		w.op(p, func(s *objapi.Store) (err error) {
-			if stored, err = s.Put(context.Background(), head); err == nil {
-				w.oracle.accept(e.Snapshot)
-			}
-			return err
-		}, func(err error) { done(stored.Revision, err) })
+		w.awake(p, func() { w.writeHead(p, e, head, done) })
 	})
 }
 
+// writeHead is the write that makes a version the accepted one.
+func (w *world) writeHead(p *proc, e cyclam.WriteVersion, head cyclam.Object, done func(uint64, error)) {
+	var stored cyclam.Object
+	w.op(p, func(s *objapi.Store) (err error) {
+		if stored, err = s.Put(context.Background(), head); err == nil {
+			w.oracle.accept(e.Snapshot)
+		}
+		return err
+	}, func(err error) { done(stored.Revision, err) })
+}
+
 // watch looks for changes now and then until there are some.
 func (w *world) watch(p *proc, e cyclam.WatchObjects) {
 	deadline := time.Now().Add(3 * time.Second)
--- a/proof/world_test.go
+++ b/proof/world_test.go
@@ -89,8 +89,10 @@
 	alive   bool
 	paused  bool
 	backlog []func() cyclam.Event
-	links   map[cyclam.LinkID]*wire
-	next    cyclam.LinkID
+	// later is what the process does on waking, before it reads anything.
+	later []func()
+	links map[cyclam.LinkID]*wire
+	next  cyclam.LinkID
 	// stoppedAt is when the process took in that it is to stop.
 	stoppedAt time.Time
 }
@@ -251,6 +253,15 @@
 	}
 }
 
+// awake runs what a process itself does next, once it is not frozen.
+func (w *world) awake(p *proc, do func()) {
+	if p.paused {
+		p.later = append(p.later, do)
+		return
+	}
+	do()
+}
+
 func (w *world) kill(p *proc) {
 	if !p.alive {
 		return
@@ -277,6 +288,11 @@
 		return
 	}
 	p.paused = false
+	later := p.later
+	p.later = nil
+	for _, do := range later {
+		do()
+	}
 	backlog := p.backlog
 	p.backlog = nil
 	for _, event := range backlog {
