Orphans of a hub stay in their data centre

They now try the grandparent only in their own data centre. tree.TestOrphansStayInTheirDataCentre was red before, green after.

--- a/bench/events.go
+++ b/bench/events.go
@@ -59,7 +59,11 @@
 	return 0
 }
 
+// noticePause is the time in which nodes see that their parent is gone.
+const noticePause = 200 * time.Millisecond
+
 func (s *Spread) awaitAttached(f *swarm.Swarm) {
+	time.Sleep(noticePause)
 	_ = fleet.Eventually(time.Minute, func() error {
 		root := false
 		for _, m := range f.Members() {
--- a/codec/codec_test.go
+++ b/codec/codec_test.go
@@ -1,6 +1,7 @@
 package codec
 
 import (
+	"fmt"
 	"reflect"
 	"testing"
 	"time"
@@ -157,3 +158,49 @@
 		}
 	}
 }
+
+// BenchmarkFull is the whole configuration of 2,800 services, packed and read.
+func BenchmarkFull(b *testing.B) {
+	var resources []cyclam.Resource
+	for i := range 2800 {
+		name := fmt.Sprintf("service-%04d", i)
+		service := cyclam.ServiceName(name)
+		resources = append(resources,
+			cyclam.Service{
+				Name:    service,
+				Timeout: 2 * time.Second,
+			},
+			cyclam.Route{
+				Name:              name,
+				PathPrefix:        "/" + name,
+				Service:           service,
+				IdempotentMethods: []string{"GET", "HEAD", "OPTIONS"},
+			},
+			cyclam.PlacementRule{
+				Name:    name,
+				Service: service,
+				Regions: []cyclam.Region{"north", "south"},
+			},
+		)
+	}
+	messages := []cyclam.Message{cyclam.Full{
+		Snapshot: cyclam.Snapshot{
+			Version:   1,
+			Resources: resources,
+		},
+	}}
+	var envelope *wire.Envelope
+	b.Run("pack", func(b *testing.B) {
+		for b.Loop() {
+			envelope, _ = Pack(messages)
+		}
+		b.ReportMetric(float64(proto.Size(envelope)), "bytes")
+	})
+	b.Run("unpack", func(b *testing.B) {
+		for b.Loop() {
+			if _, err := Unpack(envelope); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
--- a/tree/loss.go
+++ b/tree/loss.go
@@ -34,6 +34,9 @@
 	return s, nil
 }
 
+// parentLost starts a search with the grandparent, if that is in the same data
+// centre; otherwise each child of a lost hub would open a link of its own to
+// another data centre.
 func (s State) parentLost(l link, reason string) (State, []cyclam.Effect) {
 	path := s.path
 	s.parent = 0
@@ -43,7 +46,7 @@
 		failed: 1,
 	}
 	if len(path) > 1 && s.Role() == "" {
-		if e, ok := s.Roster.Get(path[len(path)-2]); ok {
+		if e, ok := s.Roster.Get(path[len(path)-2]); ok && e.Place == s.Self.Place {
 			s.seek.queue = anyOf([]string{e.Control})
 		}
 	}
--- /dev/null
+++ b/tree/tree_test.go
@@ -0,0 +1,213 @@
+package tree
+
+import (
+	"testing"
+	"time"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(d time.Duration) cyclam.Stamp {
+	return cyclam.Stamp{
+		Now: start.Add(d),
+	}
+}
+
+func endpoint(name string, place cyclam.Place) cyclam.Endpoint {
+	return cyclam.Endpoint{
+		Identity: cyclam.Identity{
+			Instance:    cyclam.InstanceName(name),
+			Incarnation: 1,
+		},
+		Sequence: 1,
+		State:    cyclam.EndpointReady,
+		Service:  "stockview",
+		Place:    place,
+		Control:  "address-of-" + name,
+	}
+}
+
+var (
+	north = cyclam.Place{
+		Region:     "north",
+		DataCentre: "north-a",
+	}
+	south = cyclam.Place{
+		Region:     "south",
+		DataCentre: "south-a",
+	}
+)
+
+func tuning() Tuning {
+	return Tuning{
+		FanOut:         2,
+		Flush:          100 * time.Millisecond,
+		Beat:           500 * time.Millisecond,
+		Lapse:          2 * time.Second,
+		Grace:          3 * time.Second,
+		Term:           3 * time.Second,
+		PlatformRegion: "north",
+	}
+}
+
+// joined returns a node of the south whose parent is a hub there, below a root
+// at some place.
+func joined(t *testing.T, root cyclam.Place) State {
+	t.Helper()
+	s := New(endpoint("me", south), tuning(), start)
+	s, _ = s.learn(start, 0, []cyclam.Endpoint{endpoint("root", root), endpoint("hub", south)})
+	s, _ = s.dial(start, candidate{
+		address: "address-of-hub",
+	})
+	id := s.seek.dial
+	s, _ = Reduce(s, cyclam.LinkOpened{
+		Stamp: at(0),
+		Link:  id,
+	})
+	welcome := cyclam.Welcome{
+		Self: endpoint("hub", south),
+		Path: []cyclam.InstanceName{"root", "hub"},
+	}
+	s, _ = Reduce(s, cyclam.LinkReceived{
+		Stamp:    at(0),
+		Link:     id,
+		Messages: []cyclam.Message{welcome},
+	})
+	if !s.Attached() {
+		t.Fatal("got no parent, want the hub")
+	}
+	s, _ = Reduce(s, cyclam.LinkClosed{
+		Stamp: at(0),
+		Link:  id,
+	})
+	return s
+}
+
+// dialled returns the address of the first link that a node opens.
+func dialled(s State) string {
+	_, effects := s.search(start.Add(time.Second))
+	for _, effect := range effects {
+		if e, ok := effect.(cyclam.OpenLink); ok {
+			return e.Address
+		}
+	}
+	return ""
+}
+
+// TestOrphansStayInTheirDataCentre covers a lost hub whose parent is elsewhere:
+// its children must not all cross the link between regions.
+func TestOrphansStayInTheirDataCentre(t *testing.T) {
+	for name, test := range map[string]struct {
+		root cyclam.Place
+		want string
+	}{
+		"grandparent here":      {south, "address-of-root"},
+		"grandparent elsewhere": {north, ""},
+	} {
+		if got := dialled(joined(t, test.root)); got != test.want {
+			t.Errorf("%s: got %q dialled, want %q", name, got, test.want)
+		}
+	}
+}
+
+// parent returns a root with two children, and the messages sent on a link.
+func withChildren(t *testing.T, names ...string) State {
+	t.Helper()
+	s := New(endpoint("me", north), tuning(), start)
+	s.acting = true
+	for i, name := range names {
+		link := cyclam.LinkID(i + 1)
+		s, _ = Reduce(s, cyclam.LinkAccepted{
+			Stamp: at(0),
+			Link:  link,
+		})
+		child := endpoint(name, north)
+		child.Parent = "me"
+		s, _ = Reduce(s, cyclam.LinkReceived{
+			Stamp: at(0),
+			Link:  link,
+			Messages: []cyclam.Message{cyclam.Hello{
+				Self: child,
+			}},
+		})
+	}
+	return s
+}
+
+func TestFullNodeRedirects(t *testing.T) {
+	s := withChildren(t, "a", "b")
+	s, _ = Reduce(s, cyclam.LinkAccepted{
+		Stamp: at(0),
+		Link:  9,
+	})
+	s, effects := Reduce(s, cyclam.LinkReceived{
+		Stamp: at(0),
+		Link:  9,
+		Messages: []cyclam.Message{cyclam.Hello{
+			Self: endpoint("c", north),
+		}},
+	})
+	sent, ok := effects[0].(cyclam.SendLink)
+	if !ok {
+		t.Fatalf("got %v, want a message", effects)
+	}
+	redirect, ok := sent.Messages[0].(cyclam.Redirect)
+	if !ok || len(redirect.Try) != 2 || s.Children() != 2 {
+		t.Errorf("got %v with %d children, want a redirect to both children", sent.Messages, s.Children())
+	}
+}
+
+// TestLostChildTakesItsRackAlong covers a child that dies with its own child.
+func TestLostChildTakesItsRackAlong(t *testing.T) {
+	s := withChildren(t, "a", "b")
+	below := endpoint("under-a", north)
+	below.Parent = "a"
+	s, _ = s.learn(start, 1, []cyclam.Endpoint{below})
+	s, _ = Reduce(s, cyclam.LinkClosed{
+		Stamp: at(0),
+		Link:  1,
+	})
+	for d := time.Duration(0); d < 4*time.Second; d += 500 * time.Millisecond {
+		s, _ = Reduce(s, cyclam.LinkReceived{
+			Stamp:    at(d),
+			Link:     2,
+			Messages: []cyclam.Message{cyclam.Beat{}},
+		})
+		s, _ = Reduce(s, cyclam.Tick{
+			Stamp: at(d),
+		})
+	}
+	for name, want := range map[cyclam.InstanceName]cyclam.EndpointState{
+		"a": cyclam.EndpointGone, "under-a": cyclam.EndpointGone, "b": cyclam.EndpointReady,
+	} {
+		if got, _ := s.Roster.Get(name); got.State != want {
+			t.Errorf("%s: got %v, want %v", name, got.State, want)
+		}
+	}
+}
+
+// TestWokenNodeDoubtsItself covers a node that was frozen: the silence that it
+// finds is its own.
+func TestWokenNodeDoubtsItself(t *testing.T) {
+	s := withChildren(t, "a", "b")
+	s, _ = Reduce(s, cyclam.Tick{
+		Stamp: at(0),
+	})
+	s, _ = Reduce(s, cyclam.Tick{
+		Stamp: at(time.Minute),
+	})
+	if got, want := s.Children(), 2; got != want {
+		t.Errorf("got %d children after waking, want %d", got, want)
+	}
+}
+
+// TestRefutesOwnDeath covers a live node that hears that it is gone.
+func TestRefutesOwnDeath(t *testing.T) {
+	s := New(endpoint("me", north), tuning(), start)
+	s, _ = s.learn(start, 0, []cyclam.Endpoint{s.Self.WithState(cyclam.EndpointGone)})
+	if got, _ := s.Roster.Get("me"); got.State != cyclam.EndpointReady || got.Sequence < 2 {
+		t.Errorf("got %v at sequence %d, want ready at a later one", got.State, got.Sequence)
+	}
+}
