Garbage collected by what lives; goodput counts whole answers only

The percentage now follows the live heap. The overload experiment counted an upstream's 503 for too many connections as done.

--- a/bench/calls.go
+++ b/bench/calls.go
@@ -206,6 +206,9 @@
 	overloadHomes = 2
 )
 
+// unbounded stands for no limit.
+const unbounded = 10000
+
 // capacity is how many bookings a second the upstreams can do.
 const capacity = overloadHomes * overloadSlots * float64(time.Second) / float64(overloadDelay)
 
@@ -217,7 +220,10 @@
 			return
 		}
 		s.Wait = true
-		s.Upstream = map[string]any{"slots": 10000, "connections": 10000, "queue": 10000, "queue-wait": "10s"}
+		for i := range s.Services {
+			s.Services[i].Connections = unbounded
+		}
+		s.Upstream = map[string]any{"slots": unbounded, "connections": unbounded, "queue": unbounded, "queue-wait": "10s"}
 		s.Tuning["max-sends"], s.Tuning["retry-share"], s.Tuning["retry-burst"] = 10, 1, 1000
 	})
 	if f != nil {
@@ -269,7 +275,11 @@
 		Offered: share * capacity,
 		Share:   share,
 	}
+	done := 0
 	for job, e := range result.Endings {
+		if e.Outcome == "done" && e.Whole {
+			done++
+		}
 		if e.Call.Method == "POST" && jobs[job] > 1 {
 			row.Twice++
 		}
@@ -278,7 +288,7 @@
 		}
 	}
 	span := c.Span.Seconds()
-	row.Done = float64(result.Outcomes["done"]) / span
+	row.Done = float64(done) / span
 	row.NotRun = float64(result.Outcomes["not-run"]) / span
 	row.Unknown = float64(result.Outcomes["unknown"]+result.Outcomes["no-answer"]) / span
 	row.P50 = millis(result.Quantile(50))
--- a/bench/size.go
+++ b/bench/size.go
@@ -87,6 +87,7 @@
 			return nil
 		}
 		changes++
+		p.drain()
 		begin := time.Now()
 		if err := s.change(ctx, client, changes); err != nil {
 			return err
@@ -231,6 +232,13 @@
 	delays *hdrhistogram.Histogram
 }
 
+// drain forgets the versions that have come so far.
+func (p *peer) drain() {
+	for len(p.seen) > 0 {
+		<-p.seen
+	}
+}
+
 // await waits for the next version and records how long it took since begin.
 func (p *peer) await(begin time.Time) error {
 	select {
--- /dev/null
+++ b/node/path_test.go
@@ -0,0 +1,123 @@
+package node_test
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/setup"
+	"github.com/cyclamensaddle/cyclam/stand/netem"
+	"github.com/cyclamensaddle/cyclam/stand/objapi"
+	"github.com/cyclamensaddle/cyclam/stand/swarm"
+	"github.com/cyclamensaddle/cyclam/stand/worker"
+	"github.com/hashicorp/go-hclog"
+	"github.com/valyala/fasthttp"
+)
+
+// The addresses of the path: a platform, an upstream, and two nodes of which
+// the second stands beside the upstream's service.
+const (
+	platformAddress = "127.0.0.1:26000"
+	upstreamAddress = "127.0.0.1:26001"
+	firstPort       = 26010
+	entryAddress    = "127.0.0.1:26010"
+)
+
+// startPath brings up two nodes of two services, with a route to the second's.
+func startPath(tb testing.TB) {
+	tb.Helper()
+	platform := &objapi.Server{
+		Store: objapi.NewStore(),
+	}
+	go func() { _ = platform.Serve(platformAddress) }()
+	upstream := &worker.Worker{
+		Name:        "upstream",
+		Slots:       100,
+		Connections: 1000,
+	}
+	go func() { _ = upstream.Serve(upstreamAddress) }()
+	s := &swarm.Swarm{
+		Nodes:    2,
+		Services: 2,
+		Port:     firstPort,
+		Platform: platformAddress,
+		Upstream: upstreamAddress,
+		Tuning:   setup.Defaults().Tuning,
+		Network:  &netem.Network{},
+		Log:      hclog.NewNullLogger(),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.Start(ctx)
+	tb.Cleanup(func() {
+		s.Stop()
+		cancel()
+	})
+	for _, o := range []cyclam.Object{
+		{
+			Kind: cyclam.KindService,
+			Name: "service-0001",
+			Spec: json.RawMessage(`{"timeout":"10s"}`),
+		},
+		{
+			Kind: cyclam.KindRoute,
+			Name: "stock",
+			Spec: json.RawMessage(`{"path-prefix":"/stock","service":"service-0001"}`),
+		},
+	} {
+		if _, err := platform.Store.Put(context.Background(), o); err != nil {
+			tb.Fatal(err)
+		}
+	}
+	if err := s.Await(10*time.Second, 1); err != nil {
+		tb.Fatal(err)
+	}
+	time.Sleep(time.Second)
+}
+
+// get sends one lookup and returns the answer's status and body size.
+func get(tb testing.TB, client *fasthttp.Client, address string, headers map[string]string) (int, int) {
+	tb.Helper()
+	req := fasthttp.AcquireRequest()
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + address + "/stock/coils")
+	for name, value := range headers {
+		req.Header.Set(name, value)
+	}
+	if err := client.DoTimeout(req, resp, 10*time.Second); err != nil {
+		tb.Fatal(err)
+	}
+	return resp.StatusCode(), len(resp.Body())
+}
+
+// TestLargeAnswerIsWhole passes answers of several sizes through two nodes.
+func TestLargeAnswerIsWhole(t *testing.T) {
+	startPath(t)
+	client := &fasthttp.Client{}
+	for size, text := range map[int]string{1 << 10: "1024", 1 << 20: "1048576", 20 << 20: "20971520"} {
+		status, got := get(t, client, entryAddress, map[string]string{worker.SizeHeader: text})
+		if status != fasthttp.StatusOK || got != size {
+			t.Errorf("got status %d and %d bytes, want 200 and %d", status, got, size)
+		}
+	}
+}
+
+// BenchmarkPath is a lookup straight to the upstream and through two nodes, with
+// the allocations of all processes of the path in one.
+func BenchmarkPath(b *testing.B) {
+	startPath(b)
+	client := &fasthttp.Client{}
+	for name, address := range map[string]string{"direct": upstreamAddress, "nodes": entryAddress} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if status, _ := get(b, client, address, nil); status != fasthttp.StatusOK {
+					b.Fatalf("got status %d, want 200", status)
+				}
+			}
+		})
+	}
+}
--- a/oper/node.go
+++ b/oper/node.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"os"
 	"os/signal"
-	"runtime"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/cyclamensaddle/cyclam/node"
@@ -31,25 +28,6 @@
 	}
 }
 
-// The runtime's settings for a small process beside an upstream: few threads to
-// wake for a call, and garbage collected seldom but well below the limit of
-// memory. The environment's GOMAXPROCS and GOGC go first.
-const (
-	processors   = 2
-	garbageShare = 400
-	memoryLimit  = 100 << 20
-)
-
-func tuneRuntime() {
-	if os.Getenv("GOMAXPROCS") == "" {
-		runtime.GOMAXPROCS(processors)
-	}
-	if os.Getenv("GOGC") == "" {
-		debug.SetGCPercent(garbageShare)
-		debug.SetMemoryLimit(memoryLimit)
-	}
-}
-
 // runNode runs a node; the first SIGTERM or SIGINT begins a planned stop, the
 // second ends the process at once.
 func (a *App) runNode(ctx context.Context, c *cli.Command) error {
@@ -57,7 +35,6 @@
 	if err != nil {
 		return err
 	}
-	tuneRuntime()
 	n := &node.Node{
 		Settings: settings,
 		Platform: store.New(settings.Platform.Address),
@@ -67,6 +44,8 @@
 	defer cancel()
 	asked, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	tuneProcessors()
+	go tuneGarbage(ctx)
 	go func() {
 		<-asked.Done()
 		stop()
