--- a/admit/admit.go
+++ b/admit/admit.go
@@ -165,7 +165,7 @@
 func (s State) seen(attempt cyclam.AttemptID) (cyclam.Verdict, bool) {
 	if r, ok := s.attempts.get(attempt); ok {
 		if r.phase == phaseRefused {
-			return notRun(cyclam.ReasonCancelled, 0), true
+			return cyclam.Refused(cyclam.ReasonCancelled, 0), true
 		}
 		return cyclam.Verdict{
 			Outcome: cyclam.Unknown,
@@ -185,17 +185,17 @@
 func (s State) refusal(e cyclam.WorkArrived, barrier cyclam.Reason) (cyclam.Verdict, bool) {
 	switch {
 	case e.Target != s.Self:
-		return notRun(cyclam.ReasonWrongTarget, 0), true
+		return cyclam.Refused(cyclam.ReasonWrongTarget, 0), true
 	case !e.Deadline.After(e.Now):
-		return notRun(cyclam.ReasonExpired, 0), true
+		return cyclam.Refused(cyclam.ReasonExpired, 0), true
 	case s.draining:
-		return notRun(cyclam.ReasonDraining, retryFloor), true
+		return cyclam.Refused(cyclam.ReasonDraining, retryFloor), true
 	case barrier != "":
-		return notRun(barrier, 0), true
+		return cyclam.Refused(barrier, 0), true
 	case s.down:
-		return notRun(cyclam.ReasonUpstreamDown, time.Second), true
+		return cyclam.Refused(cyclam.ReasonUpstreamDown, time.Second), true
 	case s.running >= s.limit(e.Now) && len(s.queue) >= s.Tuning.Queue:
-		return notRun(cyclam.ReasonShed, s.backoff()), true
+		return cyclam.Refused(cyclam.ReasonShed, s.backoff()), true
 	default:
 		return cyclam.Verdict{}, false
 	}
@@ -307,7 +307,7 @@
 	switch r.phase {
 	case phaseQueued:
 		s = s.dequeue(e.Attempt)
-		s, effects = s.refuse(e.Attempt, notRun(cyclam.ReasonCancelled, 0))
+		s, effects = s.refuse(e.Attempt, cyclam.Refused(cyclam.ReasonCancelled, 0))
 		answer.Confirmed = true
 	case phaseRefused:
 		answer.Confirmed = true
@@ -330,11 +330,3 @@
 		Verdict: verdict,
 	}}
 }
-
-func notRun(reason cyclam.Reason, retryAfter time.Duration) cyclam.Verdict {
-	return cyclam.Verdict{
-		Outcome:    cyclam.NotRun,
-		Reason:     reason,
-		RetryAfter: retryAfter,
-	}
-}
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -18,7 +18,7 @@
 		s.queue = s.queue[1:]
 		var more []cyclam.Effect
 		if expired {
-			s, more = s.refuse(next.attempt, notRun(cyclam.ReasonExpired, 0))
+			s, more = s.refuse(next.attempt, cyclam.Refused(cyclam.ReasonExpired, 0))
 		} else {
 			r, _ := s.attempts.get(next.attempt)
 			s, more = s.start(next.attempt, r.key, next.deadline)
@@ -56,7 +56,7 @@
 		first := s.queue[0]
 		s.queue = s.queue[1:]
 		var more []cyclam.Effect
-		s, more = s.refuse(first.attempt, notRun(reason, 0))
+		s, more = s.refuse(first.attempt, cyclam.Refused(reason, 0))
 		effects = append(effects, more...)
 	}
 	return s, effects
@@ -69,7 +69,7 @@
 		first := s.queue[0]
 		s.queue = s.queue[1:]
 		var more []cyclam.Effect
-		s, more = s.refuse(first.attempt, notRun(cyclam.ReasonShed, s.backoff()))
+		s, more = s.refuse(first.attempt, cyclam.Refused(cyclam.ReasonShed, s.backoff()))
 		effects = append(effects, more...)
 	}
 	return s.forget(now), effects
--- a/egress/egress.go
+++ b/egress/egress.go
@@ -86,7 +86,7 @@
 func (s State) Arrived(v View, e cyclam.CallArrived) (State, []cyclam.Effect) {
 	route, ok := v.Conf.Set.Match(e.Path)
 	if !ok {
-		return s, finish(e.Call, notRun(cyclam.ReasonNoRoute, 0))
+		return s, finish(e.Call, cyclam.Refused(cyclam.ReasonNoRoute, 0))
 	}
 	c := call{
 		route:    route,
@@ -95,9 +95,9 @@
 		deadline: deadline(v.Conf.Set, route, e),
 	}
 	if !c.deadline.After(e.Now) {
-		return s, finish(e.Call, notRun(cyclam.ReasonExpired, 0))
+		return s, finish(e.Call, cyclam.Refused(cyclam.ReasonExpired, 0))
 	}
-	c.last = notRun(cyclam.ReasonNowhere, retryLater)
+	c.last = cyclam.Refused(cyclam.ReasonNowhere, retryLater)
 	return s.send(v, e.Now, e.Call, c)
 }
 
@@ -119,7 +119,7 @@
 	s, endpoint, retryAfter := s.pick(v, now, c)
 	if endpoint.Instance == "" {
 		if retryAfter > 0 && len(c.tried) == 0 {
-			c.last = notRun(cyclam.ReasonShed, retryAfter)
+			c.last = cyclam.Refused(cyclam.ReasonShed, retryAfter)
 		}
 		s.calls = s.calls.Delete(id)
 		return s, finish(id, c.last)
@@ -193,7 +193,7 @@
 			Reason:  cyclam.ReasonLost,
 		})
 	}
-	return s.again(v, e.Now, e.Call, c, notRun(cyclam.ReasonCancelled, retryLater))
+	return s.again(v, e.Now, e.Call, c, cyclam.Refused(cyclam.ReasonCancelled, retryLater))
 }
 
 // again sends the call to another endpoint where the budget, the deadline and
@@ -232,11 +232,3 @@
 		Verdict: verdict,
 	}}
 }
-
-func notRun(reason cyclam.Reason, retryAfter time.Duration) cyclam.Verdict {
-	return cyclam.Verdict{
-		Outcome:    cyclam.NotRun,
-		Reason:     reason,
-		RetryAfter: retryAfter,
-	}
-}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -107,12 +107,8 @@
 // refusal answers a call that this node can't serve for now.
 func refusal(call cyclam.CallID, reason cyclam.Reason) cyclam.Effect {
 	return cyclam.FinishCall{
-		Call: call,
-		Verdict: cyclam.Verdict{
-			Outcome:    cyclam.NotRun,
-			Reason:     reason,
-			RetryAfter: time.Second,
-		},
+		Call:    call,
+		Verdict: cyclam.Refused(reason, time.Second),
 	}
 }
 
--- a/node/work.go
+++ b/node/work.go
@@ -101,22 +101,14 @@
 func upstreamVerdict(resp *fasthttp.Response, err error) cyclam.Verdict {
 	switch {
 	case neverSent(err):
-		return cyclam.Verdict{
-			Outcome:    cyclam.NotRun,
-			Reason:     cyclam.ReasonUpstreamDown,
-			RetryAfter: time.Second,
-		}
+		return cyclam.Refused(cyclam.ReasonUpstreamDown, time.Second)
 	case err != nil:
 		return cyclam.Verdict{
 			Outcome: cyclam.Unknown,
 			Reason:  lostReason(err),
 		}
 	case string(resp.Header.Peek(headerNotStarted)) == "no":
-		return cyclam.Verdict{
-			Outcome:    cyclam.NotRun,
-			Reason:     cyclam.ReasonShed,
-			RetryAfter: retryAfter(resp),
-		}
+		return cyclam.Refused(cyclam.ReasonShed, retryAfter(resp))
 	default:
 		return cyclam.Verdict{
 			Outcome: cyclam.Done,
--- a/outcome.go
+++ b/outcome.go
@@ -72,3 +72,12 @@
 	RetryAfter time.Duration
 	Answer     Answer
 }
+
+// Refused is the verdict on what certainly was not run.
+func Refused(reason Reason, retryAfter time.Duration) Verdict {
+	return Verdict{
+		Outcome:    NotRun,
+		Reason:     reason,
+		RetryAfter: retryAfter,
+	}
+}
