--- a/bench/size.go
+++ b/bench/size.go
@@ -71,6 +71,9 @@
 		return row, err
 	}
 	row.AcceptMillis = millis(time.Since(begin))
+	if err := s.quiet(f); err != nil {
+		return row, err
+	}
 	p, err := join(ctx, m.Control)
 	if err != nil {
 		return row, err
@@ -108,6 +111,25 @@
 	return row, nil
 }
 
+// quietLimit bounds the wait until the statuses of all objects are written.
+const quietLimit = 3 * time.Minute
+
+// quiet waits until the node writes no more than its claims.
+func (s *Size) quiet(f *fleet.Fleet) error {
+	return fleet.Eventually(quietLimit, func() error {
+		before, err := f.PlatformStats()
+		if err != nil {
+			return err
+		}
+		time.Sleep(2 * time.Second)
+		after, err := f.PlatformStats()
+		if err == nil && after.Writes-before.Writes > 10 {
+			err = errors.New("statuses are being written")
+		}
+		return err
+	})
+}
+
 // start brings up a platform with all services and one node.
 func (s *Size) start(ctx context.Context) (*fleet.Fleet, fleet.Member, error) {
 	dir, err := os.MkdirTemp("", "cyclamensaddle-size-")
--- a/node/statuses.go
+++ b/node/statuses.go
@@ -10,8 +10,12 @@
 	"github.com/pkg/errors"
 )
 
-// statusPause is the time between tries to write a status.
-const statusPause = 500 * time.Millisecond
+// The pace of writing statuses. A first configuration of thousands of objects
+// must not take all the writes that the platform bears.
+const (
+	statusPace  = 10 * time.Millisecond
+	statusPause = 500 * time.Millisecond
+)
 
 // statuses writes status objects one after the other: the latest value of each
 // name, until it is written.
@@ -90,14 +94,16 @@
 		if !n.isRoot() {
 			continue
 		}
+		pause := statusPace
 		if err := n.counted(n.statuses.write(ctx, name, value)); err != nil {
 			n.Log.Warn("status-not-written", "step", "write status", "status", name, "error", err)
 			n.statuses.back(name, value)
-			select {
-			case <-ctx.Done():
-				return nil
-			case <-time.After(statusPause):
-			}
+			pause = statusPause
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(pause):
 		}
 	}
 }
