--- a/stand/netem/netem.go
+++ b/stand/netem/netem.go
@@ -72,7 +72,7 @@
 		}
 		var d net.Dialer
 		inner, err := d.DialContext(ctx, "tcp", address)
-		if err != nil || there == here {
+		if err != nil || there == here || !foreign && n.Centres == 0 {
 			return inner, err
 		}
 		return n.wrap(inner, n.delay(foreign), foreign), nil
