A version cuts only the chunks that its change touches

The shell now keeps the cut set and follows the version's delta; it starts over when the head is read again.

--- a/accept/accept.go
+++ b/accept/accept.go
@@ -55,6 +55,7 @@
 // pending is a version that is being written.
 type pending struct {
 	state   conf.State
+	delta   cyclam.Delta
 	intake  conf.Intake
 	rulings []conf.Ruling
 }
@@ -210,6 +211,7 @@
 func (s State) write() cyclam.Effect {
 	return cyclam.WriteVersion{
 		Token:    s.token,
+		Delta:    s.pending.delta,
 		Snapshot: s.pending.state.Snapshot(),
 		Writer:   s.Self,
 		Revision: s.revision,
@@ -295,19 +297,21 @@
 		keys = append(keys, r.Object)
 	}
 	upserts, deletes := conf.Difference(held.Set, set, keys)
-	next, err := held.WithDelta(cyclam.Delta{
+	delta := cyclam.Delta{
 		From:    held.Version,
 		To:      held.Version + 1,
 		Upserts: upserts,
 		Deletes: deletes,
 		Result:  set.Digest(),
-	})
+	}
+	next, err := held.WithDelta(delta)
 	if err != nil {
 		return s.result(held, append(effects, failed("build-version", err))...)
 	}
 	s.token++
 	s.pending = pending{
 		state:   next,
+		delta:   delta,
 		intake:  intake,
 		rulings: rulings,
 	}
--- a/conf/chunk.go
+++ b/conf/chunk.go
@@ -19,24 +19,86 @@
 // maxChunks bounds the head object's list.
 const maxChunks = 1024
 
-// Chunks cuts the set into content-addressed objects. A change touches only the
-// chunks that hold the changed resources.
-func Chunks(resources []cyclam.Resource) []cyclam.Object {
+// Layout is a set cut into content-addressed chunks. It changes in place: a
+// delta touches only the chunks that hold its resources.
+type Layout struct {
+	resources int
+	buckets   []map[cyclam.Key]cyclam.Object
+	chunks    []cyclam.Object
+}
+
+// NewLayout cuts a whole set.
+func NewLayout(resources []cyclam.Resource) *Layout {
 	count := chunkCount(len(resources))
-	buckets := make([][]cyclam.Object, count)
+	l := &Layout{
+		resources: len(resources),
+		buckets:   make([]map[cyclam.Key]cyclam.Object, count),
+		chunks:    make([]cyclam.Object, count),
+	}
+	for i := range l.buckets {
+		l.buckets[i] = map[cyclam.Key]cyclam.Object{}
+	}
 	for _, resource := range resources {
-		i := bucketOf(resource.Key(), count)
-		buckets[i] = append(buckets[i], Encode(resource))
+		l.buckets[bucketOf(resource.Key(), count)][resource.Key()] = Encode(resource)
+	}
+	for i := range l.buckets {
+		l.cut(i)
+	}
+	return l
+}
+
+// Apply follows a delta; it reports false where the set has outgrown the layout
+// and has to be cut anew.
+func (l *Layout) Apply(delta cyclam.Delta) bool {
+	touched := map[int]bool{}
+	for _, key := range delta.Deletes {
+		i := bucketOf(key, len(l.buckets))
+		l.resources -= len(l.buckets[i])
+		delete(l.buckets[i], key)
+		l.resources += len(l.buckets[i])
+		touched[i] = true
+	}
+	for _, resource := range delta.Upserts {
+		i := bucketOf(resource.Key(), len(l.buckets))
+		l.resources -= len(l.buckets[i])
+		l.buckets[i][resource.Key()] = Encode(resource)
+		l.resources += len(l.buckets[i])
+		touched[i] = true
 	}
+	for i := range touched {
+		l.cut(i)
+	}
+	return chunkCount(l.resources) == len(l.buckets)
+}
+
+// cut makes the chunk of one bucket anew.
+func (l *Layout) cut(i int) {
+	members := make([]cyclam.Object, 0, len(l.buckets[i]))
+	for _, object := range l.buckets[i] {
+		members = append(members, object)
+	}
+	l.chunks[i] = cyclam.Object{}
+	if len(members) > 0 {
+		l.chunks[i] = chunk(members)
+	}
+}
+
+// Chunks returns the chunks that hold anything.
+func (l *Layout) Chunks() []cyclam.Object {
 	var out []cyclam.Object
-	for _, bucket := range buckets {
-		if len(bucket) > 0 {
-			out = append(out, chunk(bucket))
+	for _, c := range l.chunks {
+		if c.Name != "" {
+			out = append(out, c)
 		}
 	}
 	return out
 }
 
+// Chunks cuts a whole set into content-addressed objects.
+func Chunks(resources []cyclam.Resource) []cyclam.Object {
+	return NewLayout(resources).Chunks()
+}
+
 func chunkCount(resources int) int {
 	count := 1 << bits.Len(uint(resources/ResourcesPerChunk))
 	return min(count, maxChunks)
--- a/conf/conf_test.go
+++ b/conf/conf_test.go
@@ -167,6 +167,42 @@
 	}
 }
 
+// TestLayoutFollowsDeltas changes a set step by step: the chunks are those of the
+// whole set cut anew, and a change leaves most of them as they were.
+func TestLayoutFollowsDeltas(t *testing.T) {
+	set := NewSet()
+	for i := range 300 {
+		resource, _ := Parse(object(cyclam.KindService, fmt.Sprint("s", i), `{}`))
+		set = set.With(resource)
+	}
+	layout := NewLayout(set.Resources())
+	for i := range 20 {
+		changed, _ := Parse(object(cyclam.KindService, fmt.Sprint("s", 7*i), `{"timeout":"3s"}`))
+		gone := cyclam.Key{
+			Kind: cyclam.KindService,
+			Name: fmt.Sprint("s", 299-i),
+		}
+		set = set.With(changed).Without(gone)
+		if !layout.Apply(cyclam.Delta{
+			Upserts: []cyclam.Resource{changed},
+			Deletes: []cyclam.Key{gone},
+		}) {
+			t.Fatal("got a layout that was outgrown, want it to follow")
+		}
+		if got, want := fmt.Sprint(names(layout.Chunks())), fmt.Sprint(names(Chunks(set.Resources()))); got != want {
+			t.Fatalf("step %d: got chunks %s, want %s", i, got, want)
+		}
+	}
+}
+
+func names(chunks []cyclam.Object) []string {
+	var out []string
+	for _, c := range chunks {
+		out = append(out, c.Name)
+	}
+	return out
+}
+
 func FuzzObject(f *testing.F) {
 	f.Add("route", "stock", []byte(stock.Spec))
 	f.Add("placement-rule", "home", []byte(home.Spec))
--- a/conf/set.go
+++ b/conf/set.go
@@ -188,7 +188,7 @@
 		out = append(out, r)
 	}
 	slices.SortFunc(out, func(a, b cyclam.Resource) int {
-		return strings.Compare(a.Key().String(), b.Key().String())
+		return compareKeys(a.Key(), b.Key())
 	})
 	return out
 }
--- a/effect.go
+++ b/effect.go
@@ -50,7 +50,9 @@
 // Revision, the head that makes it the accepted one.
 type WriteVersion struct {
 	// Token comes back with the result.
-	Token    uint64
+	Token uint64
+	// Delta is what the version changes in the one before it.
+	Delta    Delta
 	Snapshot Snapshot
 	Writer   Identity
 	Revision uint64
--- a/node/chunks.go
+++ b/node/chunks.go
@@ -4,6 +4,7 @@
 	"sync"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/conf"
 )
 
 // chunkLedger remembers the chunks that this process wrote as the root.
@@ -13,6 +14,21 @@
 	// current and previous are the chunks of the last two heads.
 	current  map[string]bool
 	previous map[string]bool
+	// layout is the set as cut at version; a following one cuts only what its
+	// delta touches.
+	layout  *conf.Layout
+	version cyclam.Version
+}
+
+// cut returns the chunks of the version to write.
+func (c *chunkLedger) cut(e cyclam.WriteVersion) []cyclam.Object {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.layout == nil || c.version != e.Delta.From || !c.layout.Apply(e.Delta) {
+		c.layout = conf.NewLayout(e.Snapshot.Resources)
+	}
+	c.version = e.Delta.To
+	return c.layout.Chunks()
 }
 
 // forget starts over, as another root may have written since.
@@ -22,6 +38,7 @@
 	c.revisions = nil
 	c.current = nil
 	c.previous = nil
+	c.layout = nil
 }
 
 func (c *chunkLedger) has(name string) bool {
--- a/node/platform.go
+++ b/node/platform.go
@@ -146,7 +146,7 @@
 }
 
 func (n *Node) putVersion(e cyclam.WriteVersion) (uint64, error) {
-	chunks := conf.Chunks(e.Snapshot.Resources)
+	chunks := n.chunks.cut(e)
 	for _, chunk := range chunks {
 		if err := n.putChunk(chunk); err != nil {
 			return 0, err
