A node that is ended right after its start ends; the load's calls are made in order

The listener is closed as well; node.TestStopRightAfterStart was red before, green after. The test's call numbers were counted from many goroutines (race in procs.TestHerd); calls are now made by the one that sends. TestRegionsCut waits for its platform.

--- a/load/load.go
+++ b/load/load.go
@@ -122,13 +122,14 @@
 			break
 		}
 		time.Sleep(time.Until(due))
+		call := r.Next(i)
 		group.Add(1)
 		go func() {
 			defer group.Done()
 			if r.FromSend {
 				due = time.Now()
 			}
-			result.add(r.Send(r.Next(i), due))
+			result.add(r.Send(call, due))
 		}()
 	}
 	group.Wait()
--- a/node/node.go
+++ b/node/node.go
@@ -181,6 +181,8 @@
 // shutdownLimit bounds the wait for idle connections at the end.
 const shutdownLimit = time.Second
 
+// serveHTTP closes the listener itself at the end: the library does not know of
+// it before it has begun to serve.
 func (n *Node) serveHTTP(ctx context.Context, group *errgroup.Group, listener net.Listener, handler fasthttp.RequestHandler) {
 	server := &fasthttp.Server{
 		Handler:               handler,
@@ -202,6 +204,7 @@
 		limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownLimit)
 		defer cancel()
 		_ = server.ShutdownWithContext(limit)
+		_ = listener.Close()
 		return nil
 	})
 }
--- a/node/path_test.go
+++ b/node/path_test.go
@@ -121,3 +121,30 @@
 		})
 	}
 }
+
+// TestStopRightAfterStart ends nodes before their servers have begun to serve.
+func TestStopRightAfterStart(t *testing.T) {
+	for range 5 {
+		s := &swarm.Swarm{
+			Nodes:    8,
+			Services: 1,
+			Port:     26100,
+			Platform: "127.0.0.1:1",
+			Upstream: "127.0.0.1:1",
+			Tuning:   setup.Defaults().Tuning,
+			Network:  &netem.Network{},
+			Log:      hclog.NewNullLogger(),
+		}
+		s.Start(context.Background())
+		done := make(chan struct{})
+		go func() {
+			s.Stop()
+			close(done)
+		}()
+		select {
+		case <-done:
+		case <-time.After(5 * time.Second):
+			t.Fatal("got nodes that still run after 5 s, want them ended")
+		}
+	}
+}
--- a/procs/regions_test.go
+++ b/procs/regions_test.go
@@ -56,6 +56,13 @@
 		Store: objapi.NewStore(),
 	}
 	go func() { _ = server.Serve(platform) }()
+	up := func() error {
+		_, err := fleet.Get("http://" + platform + "/stats")
+		return err
+	}
+	if err := fleet.Eventually(settleLimit, up); err != nil {
+		t.Fatal(err)
+	}
 	seen := &versions{
 		held: map[int]cyclam.Version{},
 	}
