--- a/oper/runtime.go
+++ b/oper/runtime.go
@@ -20,11 +20,11 @@
 }
 
 // The garbage collector's settings. A small fleet's node collects seldom, which
-// keeps calls quick; a large fleet's node lets its heap grow to twice of what
+// keeps calls quick; a large fleet's node lets its heap grow by half of what
 // lives, which keeps it below the limit of memory.
 const (
 	heapTarget    = 64 << 20
-	leastPercent  = 100
+	leastPercent  = 50
 	mostPercent   = 1000
 	garbagePeriod = 10 * time.Second
 	liveMetric    = "/gc/heap/live:bytes"
