--- a/node/path_test.go
+++ b/node/path_test.go
@@ -8,11 +8,13 @@
 
 	cyclam "github.com/cyclamensaddle/cyclam"
 	"github.com/cyclamensaddle/cyclam/setup"
+	"github.com/cyclamensaddle/cyclam/stand/fleet"
 	"github.com/cyclamensaddle/cyclam/stand/netem"
 	"github.com/cyclamensaddle/cyclam/stand/objapi"
 	"github.com/cyclamensaddle/cyclam/stand/swarm"
 	"github.com/cyclamensaddle/cyclam/stand/worker"
 	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 )
 
@@ -73,7 +75,16 @@
 	if err := s.Await(10*time.Second, 1); err != nil {
 		tb.Fatal(err)
 	}
-	time.Sleep(time.Second)
+	client := &fasthttp.Client{}
+	serving := func() error {
+		if status, _ := get(tb, client, entryAddress, nil); status != fasthttp.StatusOK {
+			return errors.Errorf("status %d", status)
+		}
+		return nil
+	}
+	if err := fleet.Eventually(5*time.Second, serving); err != nil {
+		tb.Fatal(err)
+	}
 }
 
 // get sends one lookup and returns the answer's status and body size.
