--- a/cmd/cyclamensaddle/main.go
+++ b/cmd/cyclamensaddle/main.go
@@ -6,6 +6,8 @@
 	"os"
 
 	"github.com/cyclamensaddle/cyclam/oper"
+	"github.com/cyclamensaddle/cyclam/platform"
+	"github.com/urfave/cli/v3"
 )
 
 func main() {
@@ -13,6 +15,9 @@
 		In:  os.Stdin,
 		Out: os.Stdout,
 		Err: os.Stderr,
+		Adapters: []*cli.Command{
+			platform.Command(),
+		},
 	}
 	os.Exit(app.Run(context.Background(), os.Args))
 }
--- a/codec/decode.go
+++ b/codec/decode.go
@@ -32,7 +32,7 @@
 			Sums: m.Sums.GetSums(),
 		}, nil
 	case *wire.Message_News:
-		endpoints, err := decodeAll(m.News.GetEndpoints(), decodeEndpoint)
+		endpoints, err := decodeAll(m.News.GetEndpoints(), DecodeEndpoint)
 		return cyclam.News{
 			Endpoints: endpoints,
 		}, err
@@ -72,7 +72,7 @@
 }
 
 func decodeHello(m *wire.Hello) (cyclam.Message, error) {
-	self, err := decodeEndpoint(m.GetSelf())
+	self, err := DecodeEndpoint(m.GetSelf())
 	if err != nil {
 		return nil, errors.Wrap(err, "decode hello")
 	}
@@ -86,7 +86,7 @@
 }
 
 func decodeWelcome(m *wire.Welcome) (cyclam.Message, error) {
-	self, err := decodeEndpoint(m.GetSelf())
+	self, err := DecodeEndpoint(m.GetSelf())
 	if err != nil {
 		return nil, errors.Wrap(err, "decode welcome")
 	}
@@ -98,7 +98,8 @@
 	}, nil
 }
 
-func decodeEndpoint(m *wire.Endpoint) (cyclam.Endpoint, error) {
+// DecodeEndpoint returns the endpoint of a wire form.
+func DecodeEndpoint(m *wire.Endpoint) (cyclam.Endpoint, error) {
 	if m.GetInstance() == "" || m.GetService() == "" {
 		return cyclam.Endpoint{}, errors.New("decode endpoint: instance or service is empty")
 	}
--- a/codec/encode.go
+++ b/codec/encode.go
@@ -11,7 +11,7 @@
 	switch m := message.(type) {
 	case cyclam.Hello:
 		hello := &wire.Hello{
-			Self:    encodeEndpoint(m.Self),
+			Self:    EncodeEndpoint(m.Self),
 			Role:    string(m.Role),
 			Want:    string(m.Want),
 			Version: uint64(m.Version),
@@ -24,7 +24,7 @@
 		}, nil
 	case cyclam.Welcome:
 		welcome := &wire.Welcome{
-			Self:    encodeEndpoint(m.Self),
+			Self:    EncodeEndpoint(m.Self),
 			Path:    texts(m.Path),
 			Version: uint64(m.Version),
 			Sums:    m.Sums,
@@ -66,7 +66,7 @@
 		return &wire.Message{
 			Kind: &wire.Message_News{
 				News: &wire.News{
-					Endpoints: each(m.Endpoints, encodeEndpoint),
+					Endpoints: each(m.Endpoints, EncodeEndpoint),
 				},
 			},
 		}, nil
@@ -121,7 +121,8 @@
 	return each(in, func(t T) string { return string(t) })
 }
 
-func encodeEndpoint(e cyclam.Endpoint) *wire.Endpoint {
+// EncodeEndpoint returns the wire form of an endpoint.
+func EncodeEndpoint(e cyclam.Endpoint) *wire.Endpoint {
 	return &wire.Endpoint{
 		Instance:    string(e.Instance),
 		Incarnation: uint64(e.Incarnation),
--- /dev/null
+++ b/door/queue.go
@@ -0,0 +1,101 @@
+package door
+
+import (
+	"slices"
+	"time"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
+)
+
+// lateShare is the part of the time between goal and deadline for which work
+// may be expected to end late and still wait: beyond it, a slot serves another
+// caller on time.
+const lateShare = 0.5
+
+// retryFloor is the shortest time after which a refused caller may come back.
+const retryFloor = 50 * time.Millisecond
+
+// latest returns by when a run has to be expected to end for work to wait.
+func (w Work) latest() time.Time {
+	if !w.Goal.Before(w.Deadline) {
+		return w.Deadline
+	}
+	return w.Goal.Add(time.Duration(lateShare * float64(w.Deadline.Sub(w.Goal))))
+}
+
+// before orders the queue: requests of running work, then by rank, then what can
+// still be answered on time, then by arrival.
+func (s State) before(now time.Time) func(a, b Work) int {
+	onTime := now.Add(s.mean)
+	return func(a, b Work) int {
+		switch {
+		case a.Nested != b.Nested:
+			return first(a.Nested)
+		case a.Priority != b.Priority:
+			return a.Priority - b.Priority
+		case a.Goal.Before(onTime) != b.Goal.Before(onTime):
+			return first(!a.Goal.Before(onTime))
+		default:
+			return a.Arrived.Compare(b.Arrived)
+		}
+	}
+}
+
+func first(yes bool) int {
+	if yes {
+		return -1
+	}
+	return 1
+}
+
+// advance orders the queue, fills free slots and turns away what can't end in
+// time from its place in the queue. It owns the queue's slice.
+func (s State) advance(now time.Time) (State, []Decision) {
+	if len(s.queue) == 0 {
+		return s, nil
+	}
+	if reason := s.barrier(now); reason != "" {
+		return s.flush(now, reason)
+	}
+	slices.SortStableFunc(s.queue, s.before(now))
+	limit := s.limit(now)
+	var decisions []Decision
+	kept := s.queue[:0]
+	for _, w := range s.queue {
+		ahead := len(kept)
+		end := now.Add(s.wait(ahead, limit) + s.mean)
+		switch {
+		case !w.Deadline.After(now):
+			decisions = append(decisions, refuse(w.Attempt, cyclam.ReasonExpired, 0))
+		case s.running < limit:
+			s.running++
+			decisions = append(decisions, start(w.Attempt))
+		case end.After(w.latest()):
+			decisions = append(decisions, refuse(w.Attempt, cyclam.ReasonShed, s.backoff(now, ahead)))
+		default:
+			kept = append(kept, w)
+		}
+	}
+	s.queue = kept
+	return s, decisions
+}
+
+// wait is the expected time until a slot is free for work with others ahead.
+func (s State) wait(ahead, limit int) time.Duration {
+	return s.mean * time.Duration(ahead+1) / time.Duration(max(1, limit))
+}
+
+// backoff estimates when a slot will be free for one more caller.
+func (s State) backoff(now time.Time, ahead int) time.Duration {
+	return max(retryFloor, s.wait(ahead, s.limit(now)))
+}
+
+// flush turns away everything that waits.
+func (s State) flush(now time.Time, reason cyclam.Reason) (State, []Decision) {
+	var decisions []Decision
+	for _, w := range s.queue {
+		decisions = append(decisions, refuse(w.Attempt, reason, s.backoff(now, 0)))
+	}
+	s.queue = nil
+	return s, decisions
+}
--- a/oper/app.go
+++ b/oper/app.go
@@ -34,6 +34,8 @@
 	Err io.Writer
 	// Platform replaces the platform that the flags name.
 	Platform cyclam.Platform
+	// Adapters are commands that run nodes in other environments.
+	Adapters []*cli.Command
 }
 
 // codedError is an error with an exit code.
@@ -98,6 +100,7 @@
 		OnUsageError:   usageError,
 		Action:         unknownCommand,
 	}
+	root.Commands = append(root.Commands, a.Adapters...)
 	for _, command := range root.Commands {
 		command.OnUsageError = usageError
 	}
--- a/outcome.go
+++ b/outcome.go
@@ -34,21 +34,23 @@
 
 // The reasons that answers carry.
 const (
-	ReasonNoRoute       Reason = "no-route"
-	ReasonNoConfig      Reason = "no-configuration"
-	ReasonNowhere       Reason = "no-allowed-upstream"
-	ReasonShed          Reason = "overloaded"
-	ReasonDraining      Reason = "draining"
-	ReasonExpired       Reason = "deadline-exceeded"
-	ReasonPlacement     Reason = "placement-refused"
-	ReasonWrongTarget   Reason = "wrong-incarnation"
-	ReasonCancelled     Reason = "cancelled"
-	ReasonUpstreamDown  Reason = "upstream-down"
-	ReasonLost          Reason = "answer-lost"
-	ReasonBudget        Reason = "retry-budget-spent"
-	ReasonStale         Reason = "attempt-too-old"
-	ReasonDuplicate     Reason = "duplicate-in-progress"
-	ReasonNotRemembered Reason = "answer-no-longer-held"
+	ReasonNoRoute      Reason = "no-route"
+	ReasonNoConfig     Reason = "no-configuration"
+	ReasonNowhere      Reason = "no-allowed-upstream"
+	ReasonShed         Reason = "overloaded"
+	ReasonDraining     Reason = "draining"
+	ReasonExpired      Reason = "deadline-exceeded"
+	ReasonPlacement    Reason = "placement-refused"
+	ReasonWrongTarget  Reason = "wrong-incarnation"
+	ReasonCancelled    Reason = "cancelled"
+	ReasonUpstreamDown Reason = "upstream-down"
+	ReasonLost         Reason = "answer-lost"
+	// ReasonUpstreamRefused means that the upstream itself refused the request.
+	ReasonUpstreamRefused Reason = "refused-by-upstream"
+	ReasonBudget          Reason = "retry-budget-spent"
+	ReasonStale           Reason = "attempt-too-old"
+	ReasonDuplicate       Reason = "duplicate-in-progress"
+	ReasonNotRemembered   Reason = "answer-no-longer-held"
 )
 
 // Answer is what an upstream returned, copied out of the transport's memory.
--- /dev/null
+++ b/place/place.go
@@ -0,0 +1,128 @@
+// Package place chooses the upstream that takes an attempt: the one from which
+// an answer is expected first, by distance, queue, speed and failures.
+//
+// It answers these load patterns: one data centre crowded (calls spill over
+// once the queue costs more than the way), slow and failing upstreams (their
+// own nodes tell how slow and how often), cold starts (a new upstream's runs
+// take long, so that it gets few), and stale views (what was sent since the
+// last word is added to it).
+package place
+
+import (
+	"time"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
+)
+
+// View is what a node knows of one upstream's node.
+type View struct {
+	Endpoint cyclam.Endpoint
+	Load     cyclam.Load
+	// LoadAt is when the load was told; zero if it never was.
+	LoadAt time.Time
+	// Sent counts the own attempts since then that have not ended.
+	Sent int
+	// RTT is the time of a message there and back.
+	RTT time.Duration
+	// AvoidUntil is set after the link failed or the node refused.
+	AvoidUntil time.Time
+}
+
+// Tuning holds the weights of the choice.
+type Tuning struct {
+	// FailureCost is the time that a failed answer costs a caller.
+	FailureCost time.Duration
+	// FirstServiceTime is assumed of an upstream that has told nothing yet.
+	FirstServiceTime time.Duration
+}
+
+// loadMemory is how long a told load is believed; after it the queue is taken
+// to have run empty, and only the speed is remembered.
+const loadMemory = 500 * time.Millisecond
+
+// tieShare is the part of the best expected time within which candidates count
+// as equal, so that nodes with the same view do not all choose the same one.
+const tieShare = 0.1
+
+// leavingCost keeps calls from an upstream that leaves while others take them.
+const leavingCost = 10 * time.Second
+
+// avoidCost does the same for one that can't be reached for now.
+const avoidCost = 20 * time.Second
+
+// Expect returns the expected time to an answer.
+func (t Tuning) Expect(now time.Time, v View) time.Duration {
+	service := v.Load.ServiceTime
+	if service <= 0 {
+		service = t.FirstServiceTime
+	}
+	limit := v.Load.Limit
+	if limit <= 0 {
+		limit = max(1, int(v.Endpoint.Slots))
+	}
+	busy := v.Sent
+	if now.Sub(v.LoadAt) < loadMemory {
+		busy += v.Load.Running + v.Load.Waiting
+	}
+	expected := v.RTT + service
+	if over := busy + 1 - limit; over > 0 {
+		expected += service * time.Duration(over) / time.Duration(limit)
+	}
+	// Many upstreams slow down before they are full.
+	expected += service * time.Duration(min(busy, limit)) / time.Duration(fullCost*limit)
+	expected += time.Duration(v.Load.Failing * float64(t.FailureCost))
+	if v.Load.Leaving || v.Endpoint.State == cyclam.EndpointLeaving {
+		expected += leavingCost
+	}
+	if v.AvoidUntil.After(now) {
+		expected += avoidCost
+	}
+	return expected
+}
+
+// fullCost is the inverse of the share by which a run is expected to take
+// longer at a full upstream than at an idle one.
+const fullCost = 4
+
+// Choose returns the index of the view that takes an attempt; false means that
+// there is none. Pick is a source of numbers in [0, n).
+func (t Tuning) Choose(now time.Time, views []View, pick func(n int) int) (int, bool) {
+	if len(views) == 0 {
+		return 0, false
+	}
+	costs := make([]time.Duration, len(views))
+	best := 0
+	for i, v := range views {
+		costs[i] = t.Expect(now, v)
+		if costs[i] < costs[best] {
+			best = i
+		}
+	}
+	bound := costs[best] + time.Duration(tieShare*float64(costs[best]))
+	var near []int
+	for i, cost := range costs {
+		if cost <= bound {
+			near = append(near, i)
+		}
+	}
+	return near[pick(len(near))], true
+}
+
+// Distance guesses the time of a message there and back before any was measured.
+func Distance(a, b cyclam.Place) time.Duration {
+	switch {
+	case a.DataCentre == b.DataCentre:
+		return sameCentre
+	case a.Region == b.Region:
+		return sameRegion
+	default:
+		return otherRegion
+	}
+}
+
+// First guesses of a round trip, from the deployments' stated delays.
+const (
+	sameCentre  = time.Millisecond
+	sameRegion  = 3 * time.Millisecond
+	otherRegion = 25 * time.Millisecond
+)
--- /dev/null
+++ b/relay/fleet.go
@@ -0,0 +1,170 @@
+package relay
+
+import (
+	"time"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/place"
+	"github.com/cyclamensaddle/cyclam/wire"
+)
+
+// member is what is known of one other node.
+type member struct {
+	view place.View
+	// revision is that of the stored entry that was taken in last.
+	revision uint64
+	// failures counts the failed connections in a row.
+	failures int
+}
+
+// fleet is the view of all other nodes; the node's lock guards it.
+type fleet struct {
+	self    cyclam.Endpoint
+	members map[cyclam.InstanceName]*member
+	// known is set once the platform or another node has told of the fleet.
+	known bool
+}
+
+func newFleet(self cyclam.Endpoint) fleet {
+	return fleet{
+		self:    self,
+		members: map[cyclam.InstanceName]*member{},
+	}
+}
+
+// stored takes in an entry of the platform's store; its revisions order them.
+func (f *fleet) stored(e cyclam.Endpoint, revision uint64) {
+	m, ok := f.members[e.Instance]
+	if ok && revision <= m.revision {
+		return
+	}
+	f.set(e).revision = revision
+}
+
+// direct takes in what a node says of itself.
+func (f *fleet) direct(e cyclam.Endpoint) { f.set(e) }
+
+// heard takes in what another node says of a third one, if nothing is known.
+func (f *fleet) heard(e cyclam.Endpoint) {
+	if _, ok := f.members[e.Instance]; !ok {
+		f.set(e)
+	}
+}
+
+func (f *fleet) set(e cyclam.Endpoint) *member {
+	m, ok := f.members[e.Instance]
+	if !ok {
+		m = &member{}
+		f.members[e.Instance] = m
+	}
+	if !ok || m.view.Endpoint.Identity != e.Identity || m.view.Endpoint.Control != e.Control {
+		m.view = place.View{
+			RTT: place.Distance(f.self.Place, e.Place),
+		}
+		m.failures = 0
+	}
+	if e.State == cyclam.EndpointReady && m.view.Endpoint.State != cyclam.EndpointReady {
+		m.view.Load.Leaving = false
+		m.view.AvoidUntil = time.Time{}
+	}
+	m.view.Endpoint = e
+	return m
+}
+
+// removed drops an entry that was deleted from the store.
+func (f *fleet) removed(name cyclam.InstanceName) { delete(f.members, name) }
+
+// serving returns the nodes whose upstreams take requests for a service.
+func (f *fleet) serving(service cyclam.ServiceName) []place.View {
+	var views []place.View
+	for _, m := range f.members {
+		e := m.view.Endpoint
+		if e.Service == service && (e.State == cyclam.EndpointReady || e.State == cyclam.EndpointLeaving) {
+			views = append(views, m.view)
+		}
+	}
+	return views
+}
+
+// told takes in a load that came with a reply.
+func (n *Node) told(name cyclam.InstanceName, l *wire.Load) {
+	if l == nil {
+		return
+	}
+	n.noteVersion(cyclam.Version(l.Version))
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	m, ok := n.fleet.members[name]
+	if !ok {
+		return
+	}
+	m.view.Load = cyclam.Load{
+		Running:     int(l.Running),
+		Waiting:     int(l.Waiting),
+		Limit:       int(l.Limit),
+		ServiceTime: time.Duration(l.ServiceTimeUs) * time.Microsecond,
+		Failing:     float64(l.Failing) / 1000,
+		Leaving:     l.Leaving,
+		Version:     cyclam.Version(l.Version),
+	}
+	m.view.LoadAt = time.Now()
+	m.view.Sent = 0
+	m.failures = 0
+	m.view.AvoidUntil = time.Time{}
+}
+
+// sent counts an attempt that the last told load does not include.
+func (n *Node) sent(name cyclam.InstanceName) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if m, ok := n.fleet.members[name]; ok {
+		m.view.Sent++
+	}
+}
+
+// rttWeight is the weight of a new round trip in the moving average.
+const rttWeight = 0.2
+
+// answered takes in the time until an attempt was acknowledged.
+func (n *Node) answered(name cyclam.InstanceName, took time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if m, ok := n.fleet.members[name]; ok {
+		m.view.RTT += time.Duration(rttWeight * float64(took-m.view.RTT))
+	}
+}
+
+const (
+	// avoidBase is how long a node is avoided after its first failed link.
+	avoidBase = 250 * time.Millisecond
+	// avoidMax bounds that time as it doubles.
+	avoidMax = 2 * time.Second
+)
+
+// unreachable avoids a node for longer with each failure in a row.
+func (n *Node) unreachable(name cyclam.InstanceName) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	m, ok := n.fleet.members[name]
+	if !ok {
+		return
+	}
+	span := min(avoidBase<<min(m.failures, 4), avoidMax)
+	m.failures++
+	m.view.AvoidUntil = time.Now().Add(span)
+}
+
+// refusedBy avoids a node whose upstream is down or leaves.
+func (n *Node) refusedBy(name cyclam.InstanceName, reason cyclam.Reason) {
+	switch reason {
+	case cyclam.ReasonUpstreamDown, cyclam.ReasonDraining, cyclam.ReasonWrongTarget:
+		n.unreachable(name)
+	}
+}
+
+// nodes returns how many nodes share the retry allowance.
+func (n *Node) nodes() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.fleet.members) + 1
+}
--- /dev/null
+++ b/relay/handle.go
@@ -0,0 +1,295 @@
+package relay
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/wire"
+	"github.com/pkg/errors"
+)
+
+// defaultTimeout bounds a request where neither the caller nor its route does.
+const defaultTimeout = 30 * time.Second
+
+// handle serves one request of a caller.
+func (n *Node) handle(w http.ResponseWriter, r *http.Request) {
+	n.clients.Add(1)
+	defer n.clients.Add(-1)
+	began := time.Now()
+	meta := n.Dialect.Call(r.Header)
+	if meta.ID == "" {
+		meta.ID = newID()
+	}
+	t := n.current.Load()
+	if t == nil {
+		n.answer(w, r, meta.ID, began, nil, result{
+			verdict: cyclam.Refused(cyclam.ReasonNoConfig, leastRetryAfter),
+		})
+		return
+	}
+	target := r.RequestURI
+	if !strings.HasPrefix(target, "/") {
+		target = r.URL.RequestURI()
+	}
+	path, _, _ := strings.Cut(target, "?")
+	route, ok := t.Lookup(r.Host, path)
+	if !ok {
+		n.reject(w, meta.ID, http.StatusNotFound, cyclam.ReasonNoRoute)
+		return
+	}
+	body, code, err := readBody(w, r, t.Config.Limits)
+	if err != nil {
+		n.Log.Info("request-unreadable", "id", meta.ID, "step", "read body", "status", code, "error", err)
+		if code == 0 {
+			panic(http.ErrAbortHandler)
+		}
+		n.reject(w, meta.ID, code, "request-refused")
+		return
+	}
+	c := n.newCall(r, meta, route, began)
+	c.version = t.Config.Version
+	c.service = n.part(t, route)
+	c.offer.Target = target
+	c.offer.Body = body
+	n.earn(c.service)
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	end := c.run(ctx)
+	n.answer(w, r, meta.ID, began, c, end)
+}
+
+func (n *Node) newCall(r *http.Request, meta cyclam.CallMeta, route cyclam.Route, began time.Time) *call {
+	timeout := defaultTimeout
+	if meta.Remaining > 0 {
+		timeout = meta.Remaining
+	}
+	if route.Timeout > 0 {
+		timeout = min(timeout, route.Timeout)
+	}
+	goal := timeout
+	if route.Goal > 0 {
+		goal = min(goal, route.Goal)
+	}
+	idempotent := route.Idempotent(r.Method)
+	return &call{
+		node:       n,
+		route:      route,
+		idempotent: idempotent,
+		arrived:    began,
+		goal:       began.Add(goal),
+		deadline:   began.Add(timeout),
+		refusals:   map[cyclam.InstanceName]int{},
+		reached:    map[cyclam.InstanceName]bool{},
+		offer: &wire.Offer{
+			Id:            meta.ID,
+			Method:        r.Method,
+			Host:          r.Host,
+			Headers:       forwarded(r.Header),
+			Priority:      uint32(max(0, route.Priority)),
+			Idempotent:    idempotent,
+			CallerService: string(n.Settings.Self.Service),
+		},
+	}
+}
+
+// readBody reads a request's body; a code of zero means that the caller broke off.
+func readBody(w http.ResponseWriter, r *http.Request, limits cyclam.Limits) ([]byte, int, error) {
+	if limits.HeaderBytes > 0 && headerSize(r) > limits.HeaderBytes {
+		return nil, http.StatusRequestHeaderFieldsTooLarge, errors.New("header is too large")
+	}
+	if r.ContentLength == 0 {
+		return nil, 0, nil
+	}
+	reader := r.Body
+	if limits.BodyBytes > 0 {
+		reader = http.MaxBytesReader(w, r.Body, limits.BodyBytes)
+	}
+	body, err := io.ReadAll(reader)
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return nil, http.StatusRequestEntityTooLarge, err
+	}
+	return body, 0, err
+}
+
+func headerSize(r *http.Request) int64 {
+	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + len(": \r\n")
+		}
+	}
+	return int64(size)
+}
+
+// perConnection lists the header fields that concern one connection only.
+var perConnection = map[string]bool{
+	"Connection":          true,
+	"Keep-Alive":          true,
+	"Proxy-Connection":    true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+	"Content-Length":      true,
+	"Expect":              true,
+}
+
+// forwarded returns the fields of a header that are passed on.
+func forwarded(header http.Header) []*wire.Field {
+	named := map[string]bool{}
+	for _, value := range header["Connection"] {
+		for part := range strings.SplitSeq(value, ",") {
+			named[http.CanonicalHeaderKey(strings.TrimSpace(part))] = true
+		}
+	}
+	var fields []*wire.Field
+	for name, values := range header {
+		if perConnection[name] || named[name] {
+			continue
+		}
+		for _, value := range values {
+			fields = append(fields, &wire.Field{
+				Name:  name,
+				Value: value,
+			})
+		}
+	}
+	return fields
+}
+
+// reject answers a request that no upstream could serve at any time.
+func (n *Node) reject(w http.ResponseWriter, id string, code int, reason cyclam.Reason) {
+	n.meters.refused(reason)
+	n.Log.Info("request-rejected", "id", id, "status", code, "reason", reason, "version", n.version())
+	n.plain(w, code, reason)
+}
+
+func (n *Node) plain(w http.ResponseWriter, code int, reason cyclam.Reason) {
+	header := w.Header()
+	header["Date"] = nil
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	n.closing(header)
+	w.WriteHeader(code)
+	if _, err := io.WriteString(w, string(reason)+"\n"); err != nil {
+		n.Log.Debug("caller-gone", "step", "write refusal", "error", err)
+	}
+}
+
+func (n *Node) closing(header http.Header) {
+	if n.stopping.Load() {
+		header.Set("Connection", "close")
+	}
+}
+
+// answer gives a caller the final answer.
+func (n *Node) answer(w http.ResponseWriter, r *http.Request, id string, began time.Time, c *call, end result) {
+	took := time.Since(began)
+	n.noteEnd(r.Context(), id, took, c, end)
+	v := end.verdict
+	switch v.Outcome {
+	case cyclam.Done:
+		n.deliver(w, id, end)
+	case cyclam.NotRun:
+		w.Header().Set("Retry-After", seconds(v.RetryAfter))
+		n.plain(w, http.StatusServiceUnavailable, v.Reason)
+	default:
+		code := http.StatusBadGateway
+		if v.Reason == cyclam.ReasonExpired {
+			code = http.StatusGatewayTimeout
+		}
+		n.plain(w, code, v.Reason)
+	}
+}
+
+// seconds writes a duration as a decimal number of seconds.
+func seconds(d time.Duration) string {
+	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
+}
+
+// deliver writes an upstream's answer. One that turns out not to be whole ends
+// with the connection, so that it does not look complete.
+func (n *Node) deliver(w http.ResponseWriter, id string, end result) {
+	header := w.Header()
+	header["Date"] = nil
+	header["Content-Type"] = nil
+	answer := end.verdict.Answer
+	first := map[string]bool{}
+	for _, h := range answer.Headers {
+		if perConnection[h.Name] {
+			continue
+		}
+		if !first[h.Name] {
+			first[h.Name] = true
+			header[h.Name] = nil
+		}
+		header[h.Name] = append(header[h.Name], h.Value)
+	}
+	if end.rest == nil && bodyAllowed(answer.Status) {
+		header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	}
+	n.closing(header)
+	w.WriteHeader(answer.Status)
+	_, err := w.Write(answer.Body)
+	if err == nil && end.rest != nil {
+		err = end.rest.copyTo(w)
+	} else if end.rest != nil {
+		end.rest.finish()
+	}
+	if err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
+		n.Log.Info("answer-cut", "id", id, "step", "write answer", "error", err)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func bodyAllowed(status int) bool {
+	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// noteEnd counts and logs how a request ended: every failure, and a sample of
+// the rest.
+func (n *Node) noteEnd(ctx context.Context, id string, took time.Duration, c *call, end result) {
+	n.meters.ended(end.verdict, took)
+	v := end.verdict
+	if c == nil {
+		n.Log.Warn("request-refused", "id", id, "reason", v.Reason)
+		return
+	}
+	fields := []any{
+		"id", id,
+		"route", c.route.Name,
+		"service", c.service,
+		"version", c.version,
+		"outcome", v.Outcome.String(),
+		"reason", v.Reason,
+		"status", v.Answer.Status,
+		"peer", end.target.Endpoint.Instance,
+		"sends", c.sends,
+		"refusals", len(c.refusals),
+		"took", took,
+		"left", time.Until(c.deadline),
+		"retry-after", v.RetryAfter,
+		"caller-gone", ctx.Err() != nil,
+	}
+	if v.Outcome == cyclam.Done && v.Answer.Status < http.StatusInternalServerError {
+		n.Log.Debug("request-done", fields...)
+		return
+	}
+	n.Log.Warn("request-failed", fields...)
+}
+
+// newID names a request whose caller did not.
+func newID() string {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
--- /dev/null
+++ b/relay/link.go
@@ -0,0 +1,206 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/wire"
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/connectivity"
+	"google.golang.org/grpc/credentials/insecure"
+)
+
+// link is the connection to one other node; it is replaced when it goes silent.
+type link struct {
+	node    *Node
+	address string
+
+	mu       sync.Mutex
+	conn     *grpc.ClientConn
+	inFlight int
+	heard    time.Time
+	watching bool
+}
+
+const (
+	// connectLimit is how long an attempt waits for a connection.
+	connectLimit = 350 * time.Millisecond
+	// silenceLimit is how long a link with attempts in flight may be silent
+	// before it is probed.
+	silenceLimit = 350 * time.Millisecond
+	// pingLimit is how long a probe may take: a node may stand still for a tenth
+	// of a second at its processor limit, and the way may be long.
+	pingLimit = 450 * time.Millisecond
+	// watchEvery is the interval at which a used link is looked at.
+	watchEvery = 150 * time.Millisecond
+	// windowSize lets most answers through without waiting for the reader.
+	windowSize = 1 << 20
+	// messageLimit bounds one message between nodes, in bytes.
+	messageLimit = 80 << 20
+)
+
+var errNotConnected = errors.New("no connection")
+
+// link returns the link to a node's address.
+func (n *Node) link(address string) *link {
+	n.linkMu.Lock()
+	defer n.linkMu.Unlock()
+	l, ok := n.links[address]
+	if !ok {
+		l = &link{
+			node:    n,
+			address: address,
+		}
+		n.links[address] = l
+	}
+	return l
+}
+
+func (l *link) dial() (*grpc.ClientConn, error) {
+	return grpc.NewClient("passthrough:///"+l.address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+			return l.node.Dial(ctx, address)
+		}),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff: backoff.Config{
+				BaseDelay:  100 * time.Millisecond,
+				Multiplier: 1.6,
+				Jitter:     0.2,
+				MaxDelay:   time.Second,
+			},
+			MinConnectTimeout: time.Second,
+		}),
+		grpc.WithDefaultCallOptions(
+			grpc.MaxCallRecvMsgSize(messageLimit),
+			grpc.MaxCallSendMsgSize(messageLimit),
+		),
+		grpc.WithNoProxy(),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithInitialWindowSize(windowSize),
+		grpc.WithInitialConnWindowSize(windowSize),
+		grpc.WithReadBufferSize(bufferSize),
+		grpc.WithWriteBufferSize(bufferSize),
+		grpc.WithSharedWriteBuffer(true),
+		grpc.WithIdleTimeout(0),
+	)
+}
+
+// bufferSize is that of a connection's buffers, small as there are many.
+const bufferSize = 8 << 10
+
+// connect returns a connection that is up. An error means that nothing was sent.
+func (l *link) connect(ctx context.Context) (*grpc.ClientConn, error) {
+	ctx, cancel := context.WithTimeout(ctx, connectLimit)
+	defer cancel()
+	for {
+		conn, err := l.get()
+		if err != nil {
+			return nil, err
+		}
+		state := conn.GetState()
+		switch state {
+		case connectivity.Ready:
+			return conn, nil
+		case connectivity.Idle:
+			conn.Connect()
+		case connectivity.TransientFailure:
+			return nil, cyclam.AtStep("connect", l.address, errNotConnected)
+		}
+		if !conn.WaitForStateChange(ctx, state) {
+			return nil, cyclam.AtStep("connect", l.address, errNotConnected)
+		}
+	}
+}
+
+func (l *link) get() (*grpc.ClientConn, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn == nil {
+		conn, err := l.dial()
+		if err != nil {
+			return nil, cyclam.AtStep("dial", l.address, err)
+		}
+		l.conn = conn
+	}
+	return l.conn, nil
+}
+
+// reset closes a connection that is of no use any more, unless it was replaced.
+func (l *link) reset(conn *grpc.ClientConn, why string) {
+	l.mu.Lock()
+	current := l.conn == conn && conn != nil
+	if current {
+		l.conn = nil
+	}
+	l.mu.Unlock()
+	if !current {
+		return
+	}
+	l.node.meters.resets.Inc(1)
+	l.node.Log.Warn("link-reset", "peer", l.address, "reason", why)
+	if err := conn.Close(); err != nil {
+		l.node.Log.Warn("link-close-failed", "peer", l.address, "error", err)
+	}
+}
+
+// begin counts an attempt and watches the link while any is in flight.
+func (l *link) begin() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.inFlight++
+	if l.inFlight == 1 {
+		l.heard = time.Now()
+	}
+	if !l.watching {
+		l.watching = true
+		go l.watch()
+	}
+}
+
+func (l *link) end() {
+	l.mu.Lock()
+	l.inFlight--
+	l.mu.Unlock()
+}
+
+// hear notes that something came from the other node.
+func (l *link) hear() {
+	l.mu.Lock()
+	l.heard = time.Now()
+	l.mu.Unlock()
+}
+
+// watch probes the link while it is silent, and replaces it when it is dead: a
+// connection may die without a reset while new ones work.
+func (l *link) watch() {
+	for {
+		time.Sleep(watchEvery)
+		l.mu.Lock()
+		if l.inFlight == 0 {
+			l.watching = false
+			l.mu.Unlock()
+			return
+		}
+		conn, silent := l.conn, time.Since(l.heard)
+		l.mu.Unlock()
+		if conn == nil || silent < silenceLimit || conn.GetState() != connectivity.Ready {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), pingLimit)
+		_, err := wire.NewDoorClient(conn).Exchange(ctx, &wire.Knowledge{
+			Version: uint64(l.node.version()),
+		})
+		cancel()
+		if err != nil {
+			l.reset(conn, err.Error())
+			continue
+		}
+		l.hear()
+	}
+}
--- /dev/null
+++ b/relay/meters.go
@@ -0,0 +1,49 @@
+package relay
+
+import (
+	"time"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/rcrowley/go-metrics"
+)
+
+// meters holds the counters of a node.
+type meters struct {
+	registry    metrics.Registry
+	resends     metrics.Counter
+	hedges      metrics.Counter
+	budgetSpent metrics.Counter
+	resets      metrics.Counter
+	requests    metrics.Timer
+	run         metrics.Timer
+}
+
+func newMeters(r metrics.Registry) meters {
+	return meters{
+		registry:    r,
+		resends:     metrics.GetOrRegisterCounter("attempts-resent", r),
+		hedges:      metrics.GetOrRegisterCounter("attempts-hedged", r),
+		budgetSpent: metrics.GetOrRegisterCounter("retry-budget-spent", r),
+		resets:      metrics.GetOrRegisterCounter("links-reset", r),
+		requests:    metrics.GetOrRegisterTimer("request", r),
+		run:         metrics.GetOrRegisterTimer("upstream-run", r),
+	}
+}
+
+func (m meters) refused(reason cyclam.Reason) {
+	metrics.GetOrRegisterCounter("refused-"+string(reason), m.registry).Inc(1)
+}
+
+func (m meters) ended(v cyclam.Verdict, took time.Duration) {
+	m.requests.Update(took)
+	metrics.GetOrRegisterCounter("requests-"+v.Outcome.String(), m.registry).Inc(1)
+}
+
+// stored counts the calls to the platform's store by kind and result.
+func (m meters) stored(call string, err error) {
+	result := "ok"
+	if err != nil {
+		result = "failed"
+	}
+	metrics.GetOrRegisterCounter("store-"+call+"-"+result, m.registry).Inc(1)
+}
--- /dev/null
+++ b/relay/node.go
@@ -0,0 +1,237 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/budget"
+	"github.com/cyclamensaddle/cyclam/door"
+	"github.com/cyclamensaddle/cyclam/origin"
+	"github.com/cyclamensaddle/cyclam/place"
+	"github.com/cyclamensaddle/cyclam/table"
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+)
+
+// ErrStopped ends Run after a planned stop.
+var ErrStopped = errors.New("node has stopped")
+
+// Node is one node; set its exported fields before Run.
+type Node struct {
+	Settings Settings
+	Platform cyclam.Platform
+	Dialect  cyclam.Dialect
+	Log      hclog.Logger
+	Metrics  metrics.Registry
+	// Dial connects to other nodes and to the upstream; nil uses plain TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+
+	self   cyclam.Identity
+	meters meters
+	origin *origin.Pool
+	next   atomic.Uint64
+	// hint is signalled when another node shows a newer configuration.
+	hint chan cyclam.Version
+
+	current  atomic.Pointer[table.Table]
+	raw      atomic.Pointer[rawConfig]
+	stopping atomic.Bool
+	clients  atomic.Int64
+
+	mu      sync.Mutex
+	fleet   fleet
+	splits  map[string]table.Split
+	budgets map[cyclam.ServiceName]budget.State
+	placing place.Tuning
+
+	doorMu   sync.Mutex
+	door     door.State
+	jobs     map[cyclam.AttemptID]*job
+	fenced   fences
+	upstream upstreamState
+
+	linkMu sync.Mutex
+	links  map[string]*link
+
+	entry     ownEntry
+	wakeEntry chan struct{}
+}
+
+// rawConfig is the configuration as the platform holds it, for other nodes.
+type rawConfig struct {
+	version cyclam.Version
+	spec    []byte
+}
+
+// failureCost is the time that a failed answer is taken to cost a caller; a
+// typical goal of the deployments.
+const failureCost = 600 * time.Millisecond
+
+// firstServiceTime is assumed of an upstream of which nothing is known.
+const firstServiceTime = 200 * time.Millisecond
+
+func (n *Node) prepare() {
+	n.Settings.Self.Incarnation = cyclam.Incarnation(rand.Uint64() >> 1)
+	n.Settings.Self.Sequence = 1
+	n.Settings.Self.State = cyclam.EndpointDown
+	n.self = n.Settings.Self.Identity
+	if n.Metrics == nil {
+		n.Metrics = metrics.NewRegistry()
+	}
+	n.meters = newMeters(n.Metrics)
+	if n.Dial == nil {
+		n.Dial = origin.DialTCP
+	}
+	n.origin = &origin.Pool{
+		Address: n.Settings.Upstream,
+		Dialect: n.Dialect,
+		Dial:    n.Dial,
+	}
+	n.hint = make(chan cyclam.Version, 1)
+	n.wakeEntry = make(chan struct{}, 1)
+	n.fleet = newFleet(n.Settings.Self)
+	n.splits = map[string]table.Split{}
+	n.budgets = map[cyclam.ServiceName]budget.State{}
+	n.placing = place.Tuning{
+		FailureCost:      failureCost,
+		FirstServiceTime: firstServiceTime,
+	}
+	n.door = door.New(door.Tuning{
+		Slots: int(n.Settings.Self.Slots),
+		Drain: n.Settings.Drain,
+	})
+	n.jobs = map[cyclam.AttemptID]*job{}
+	n.links = map[string]*link{}
+}
+
+// Run serves until the context ends or a planned stop is done; the error after
+// a planned stop is ErrStopped.
+func (n *Node) Run(ctx context.Context) error {
+	n.prepare()
+	callers, err := net.Listen("tcp", n.Settings.Callers)
+	if err != nil {
+		return cyclam.AtStep("listen for callers", n.Settings.Callers, err)
+	}
+	peers, err := net.Listen("tcp", n.Settings.Self.Control)
+	if err != nil {
+		return cyclam.AtStep("listen for nodes", n.Settings.Self.Control, err)
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	n.Log.Info("node-started",
+		"instance", n.self.Instance,
+		"incarnation", n.self.Incarnation,
+		"service", n.Settings.Self.Service,
+		"data-centre", n.Settings.Self.Place.DataCentre,
+	)
+	n.serveCallers(ctx, group, callers)
+	n.servePeers(ctx, group, peers)
+	group.Go(func() error { return n.watchConfig(ctx) })
+	group.Go(func() error { return n.watchFleet(ctx) })
+	group.Go(func() error { return n.keepEntry(ctx) })
+	group.Go(func() error { return n.identify(ctx) })
+	group.Go(func() error { return n.tick(ctx) })
+	return group.Wait()
+}
+
+// Ready reports whether callers may be sent here.
+func (n *Node) Ready() bool {
+	if n.stopping.Load() || n.current.Load() == nil {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.fleet.known
+}
+
+// tickEvery is the interval at which waiting work is looked at again.
+const tickEvery = 25 * time.Millisecond
+
+func (n *Node) tick(ctx context.Context) error {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	turned := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			n.decide(func(s door.State) (door.State, []door.Decision) { return s.Tick(now) })
+			if now.Sub(turned) >= time.Second {
+				turned = now
+				n.origin.Expire()
+				n.forgetJobs(now)
+			}
+		}
+	}
+}
+
+const (
+	// readyMisses is how long the platform takes to stop sending new callers.
+	readyMisses = 2500 * time.Millisecond
+	// exitMargin is kept free before the process would be killed.
+	exitMargin = 700 * time.Millisecond
+	// exitPoll is the interval at which a stopping node looks whether it is idle.
+	exitPoll = 50 * time.Millisecond
+)
+
+// Stop makes a planned stop: nothing new is taken from other nodes, callers are
+// served until they have gone elsewhere, and what is in flight ends. It returns
+// when the process may exit.
+func (n *Node) Stop(ctx context.Context) {
+	if !n.stopping.CompareAndSwap(false, true) {
+		return
+	}
+	began := time.Now()
+	n.Log.Info("stop-begun", "grace", n.Settings.Grace)
+	n.announce()
+	for {
+		age := time.Since(began)
+		if age >= n.Settings.Grace-exitMargin || age >= readyMisses && n.idle() {
+			n.Log.Info("node-stopped", "after", age, "callers-in-flight", n.clients.Load())
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(exitPoll):
+		}
+	}
+}
+
+func (n *Node) idle() bool {
+	n.doorMu.Lock()
+	defer n.doorMu.Unlock()
+	return n.clients.Load() == 0 && !n.door.Busy()
+}
+
+// serveCallers runs the HTTP server for callers until the context ends.
+func (n *Node) serveCallers(ctx context.Context, group *errgroup.Group, listener net.Listener) {
+	idle := &idleConns{
+		since: map[net.Conn]time.Time{},
+	}
+	server := &http.Server{
+		Handler:           http.HandlerFunc(n.handle),
+		ReadHeaderTimeout: headerTimeoutCap,
+		ConnState:         idle.changed,
+		ErrorLog:          n.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	}
+	group.Go(func() error {
+		err := server.Serve(listener)
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return cyclam.AtStep("serve callers", listener.Addr().String(), err)
+	})
+	group.Go(func() error {
+		idle.sweep(ctx, n.limits)
+		return errors.Wrap(server.Close(), "close server for callers")
+	})
+}
--- /dev/null
+++ b/relay/peers.go
@@ -0,0 +1,101 @@
+package relay
+
+import (
+	"context"
+	"net"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/codec"
+	"github.com/cyclamensaddle/cyclam/wire"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+)
+
+// peerServer takes attempts, cancels and knowledge from other nodes.
+type peerServer struct {
+	wire.UnimplementedDoorServer
+	node *Node
+}
+
+func (n *Node) servePeers(ctx context.Context, group *errgroup.Group, listener net.Listener) {
+	server := grpc.NewServer(
+		grpc.MaxRecvMsgSize(messageLimit),
+		grpc.InitialWindowSize(windowSize),
+		grpc.InitialConnWindowSize(windowSize),
+		grpc.ReadBufferSize(bufferSize),
+		grpc.WriteBufferSize(bufferSize),
+		grpc.SharedWriteBuffer(true),
+	)
+	wire.RegisterDoorServer(server, &peerServer{
+		node: n,
+	})
+	group.Go(func() error {
+		return cyclam.AtStep("serve nodes", listener.Addr().String(), server.Serve(listener))
+	})
+	group.Go(func() error {
+		<-ctx.Done()
+		server.Stop()
+		return nil
+	})
+}
+
+// Serve runs an attempt, or joins one that is under way, and streams its
+// replies from the first one on.
+func (p *peerServer) Serve(offer *wire.Offer, stream grpc.ServerStreamingServer[wire.Reply]) error {
+	n := p.node
+	n.noteVersion(cyclam.Version(offer.Version))
+	j, settled := n.admit(offer)
+	if settled != nil {
+		return stream.Send(n.loaded(settled))
+	}
+	j.attach()
+	defer n.release(j)
+	for at := 0; ; at++ {
+		reply, err := j.next(stream.Context(), at)
+		if err != nil || reply == nil {
+			return err
+		}
+		if err := stream.Send(n.loaded(reply)); err != nil {
+			return err
+		}
+	}
+}
+
+// loaded adds the load to the replies from which it is read.
+func (n *Node) loaded(reply *wire.Reply) *wire.Reply {
+	switch reply.Kind.(type) {
+	case *wire.Reply_Chunk, *wire.Reply_Started:
+		return reply
+	default:
+		return &wire.Reply{
+			Load: n.load(),
+			Kind: reply.Kind,
+		}
+	}
+}
+
+// Revoke gives an attempt up.
+func (p *peerServer) Revoke(_ context.Context, r *wire.CancelRequest) (*wire.CancelReply, error) {
+	attempt, err := codec.DecodeAttempt(r.Attempt)
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	meant := cyclam.Identity{
+		Instance:    cyclam.InstanceName(r.Instance),
+		Incarnation: cyclam.Incarnation(r.Incarnation),
+	}
+	if meant != p.node.self {
+		return &wire.CancelReply{}, nil
+	}
+	return &wire.CancelReply{
+		Confirmed: p.node.revoke(attempt),
+	}, nil
+}
+
+// Exchange answers with what the other node lacks.
+func (p *peerServer) Exchange(_ context.Context, k *wire.Knowledge) (*wire.Knowledge, error) {
+	p.node.learn(k)
+	return p.node.knowledge(cyclam.Version(k.Version), k.Full), nil
+}
--- /dev/null
+++ b/relay/settings.go
@@ -0,0 +1,32 @@
+// Package relay is the node beside an upstream on a platform without machines
+// of its own: it takes callers' requests, sends each to the node of an upstream,
+// runs requests at its own upstream, and keeps its view by the platform's store.
+//
+// Decisions are made by table, place, budget and door; this package does the
+// input and output around them.
+package relay
+
+import (
+	"time"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/budget"
+)
+
+// Settings tell a node who it is and what it talks to.
+type Settings struct {
+	// Self is what the node announces; the incarnation is set at its start.
+	Self cyclam.Endpoint
+	// Callers is the host:port that takes requests of callers and of the own
+	// upstream.
+	Callers string
+	// Upstream is the host:port of the upstream beside the node.
+	Upstream string
+	Budget   budget.Tuning
+	// Drain is how long an upstream that leaves still takes requests.
+	Drain time.Duration
+	// Grace is how long a stopping process has until it is killed.
+	Grace time.Duration
+	// Memory is how many bytes the process may use; zero means no limit.
+	Memory int64
+}
--- /dev/null
+++ b/relay/upstream.go
@@ -0,0 +1,212 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/pkg/errors"
+)
+
+// upstreamState is what is known of the process beside the node.
+type upstreamState struct {
+	id       string
+	born     time.Time
+	sequence uint64
+	// left names the process that said last that it leaves.
+	left     string
+	leftBorn time.Time
+	leaving  bool
+}
+
+// ErrForeignNews refuses news of an upstream that is not beside this node.
+var ErrForeignNews = errors.New("news of an upstream that is not beside this node")
+
+// Announce takes in what the upstream says of itself. Older news change nothing.
+func (n *Node) Announce(news cyclam.UpstreamNews) error {
+	if news.Address != n.Settings.Upstream || news.Service != n.Settings.Self.Service {
+		return cyclam.AtStep("announce", news.Address, ErrForeignNews)
+	}
+	now := time.Now()
+	n.doorMu.Lock()
+	known := n.upstream
+	if !newer(known, news) {
+		n.doorMu.Unlock()
+		return nil
+	}
+	fresh := known.id != news.ID || !known.born.IsZero() && !known.born.Equal(news.Born)
+	leaving := news.Leaving || known.left == news.ID && known.leftBorn.Equal(news.Born)
+	n.upstream = upstreamState{
+		id:       news.ID,
+		born:     news.Born,
+		sequence: news.Sequence,
+		left:     known.left,
+		leftBorn: known.leftBorn,
+		leaving:  leaving,
+	}
+	if fresh || !n.door.Known() {
+		n.door = n.door.WithUpstream(news.Slots)
+	} else {
+		n.door = n.door.WithDown(false).WithSlots(news.Slots)
+	}
+	if leaving {
+		n.door = n.door.WithLeaving(now)
+	}
+	n.doorMu.Unlock()
+	if fresh || leaving != known.leaving {
+		n.Log.Info("upstream-changed",
+			"upstream", news.ID,
+			"born", news.Born.UnixMilli(),
+			"sequence", news.Sequence,
+			"leaving", leaving,
+			"cold", news.Cold,
+			"slots", news.Slots,
+		)
+		n.announce()
+	}
+	return nil
+}
+
+// newer reports whether news come after what is known. Births are compared with
+// each other only, as they are times of the upstream's own clock.
+func newer(known upstreamState, news cyclam.UpstreamNews) bool {
+	switch {
+	case known.id == "" || known.born.IsZero():
+		return true
+	case !known.born.Equal(news.Born):
+		return news.Born.After(known.born)
+	case known.id != news.ID:
+		return true
+	default:
+		return news.Sequence > known.sequence
+	}
+}
+
+// Withdraw takes in that an upstream is about to end.
+func (n *Node) Withdraw(id string, born time.Time) {
+	now := time.Now()
+	n.doorMu.Lock()
+	current := n.upstream.id == id && (born.IsZero() || n.upstream.born.IsZero() || n.upstream.born.Equal(born))
+	if current || n.upstream.id == "" {
+		n.upstream.left, n.upstream.leftBorn, n.upstream.leaving = id, born, true
+		if !born.IsZero() {
+			n.upstream.born = born
+		}
+		n.door = n.door.WithLeaving(now)
+	}
+	n.doorMu.Unlock()
+	n.Log.Info("upstream-leaves", "upstream", id, "current", current)
+	if current {
+		n.announce()
+	}
+}
+
+func (n *Node) upstreamID() string {
+	n.doorMu.Lock()
+	defer n.doorMu.Unlock()
+	return n.upstream.id
+}
+
+// forgetUpstream is called when another process answers at the address.
+func (n *Node) forgetUpstream() {
+	n.doorMu.Lock()
+	n.upstream.id = ""
+	n.doorMu.Unlock()
+	n.Log.Warn("upstream-replaced", "address", n.Settings.Upstream)
+	go n.probe(context.Background())
+}
+
+const (
+	// probeTimeout bounds one health check.
+	probeTimeout = 700 * time.Millisecond
+	// identifyEvery is the pause between health checks of a node that has just
+	// started and was not told yet which upstream is beside it.
+	identifyEvery = 400 * time.Millisecond
+	// identifyTries ends them; the upstream's own news come later in any case.
+	identifyTries = 6
+)
+
+// identify asks the upstream who it is, so that a node that was started alone
+// serves before the upstream's next news.
+func (n *Node) identify(ctx context.Context) error {
+	for range identifyTries {
+		if n.upstreamID() != "" {
+			return nil
+		}
+		if n.current.Load() != nil {
+			n.probe(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(identifyEvery):
+		}
+	}
+	return nil
+}
+
+// probe makes one health check. An upstream that is not healthy may be about to
+// leave; it stays out until it sends news.
+func (n *Node) probe(ctx context.Context) {
+	t := n.current.Load()
+	if t == nil {
+		return
+	}
+	service, ok := t.Service(n.Settings.Self.Service)
+	if !ok || service.HealthPath == "" {
+		return
+	}
+	id, healthy, err := n.health(ctx, service.HealthPath)
+	n.Log.Info("upstream-probed", "upstream", id, "healthy", healthy, "error", err)
+	if err != nil || !healthy || id == "" {
+		return
+	}
+	n.doorMu.Lock()
+	fresh := n.upstream.id == "" && n.upstream.left != id
+	if fresh {
+		n.upstream.id = id
+		if !n.door.Known() {
+			n.door = n.door.WithUpstream(0)
+		}
+	}
+	n.doorMu.Unlock()
+	if fresh {
+		n.announce()
+	}
+}
+
+func (n *Node) health(ctx context.Context, path string) (string, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	transport := &http.Transport{
+		DialContext:       func(ctx context.Context, _, address string) (net.Conn, error) { return n.Dial(ctx, address) },
+		DisableKeepAlives: true,
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.Settings.Upstream+path, nil)
+	if err != nil {
+		return "", false, errors.Wrap(err, "make health check")
+	}
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return "", false, cyclam.AtStep("health check", n.Settings.Upstream, err)
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return "", false, cyclam.AtStep("health check", n.Settings.Upstream, err)
+	}
+	return n.Dialect.Instance(resp.Header), resp.StatusCode == http.StatusOK, nil
+}
+
+// leavingFor restores what another process of this node was told.
+func (n *Node) leavingFor(id string) {
+	n.doorMu.Lock()
+	defer n.doorMu.Unlock()
+	n.upstream.left = id
+	if n.upstream.id == id {
+		n.upstream.leaving = true
+		n.door = n.door.WithLeaving(time.Now())
+	}
+}
--- /dev/null
+++ b/relay/work.go
@@ -0,0 +1,299 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/codec"
+	"github.com/cyclamensaddle/cyclam/door"
+	"github.com/cyclamensaddle/cyclam/origin"
+	"github.com/cyclamensaddle/cyclam/wire"
+	"github.com/pkg/errors"
+)
+
+// decide folds a change into the door's state and carries its decisions out.
+func (n *Node) decide(change func(door.State) (door.State, []door.Decision)) {
+	n.doorMu.Lock()
+	defer n.doorMu.Unlock()
+	n.decideLocked(change)
+}
+
+func (n *Node) decideLocked(change func(door.State) (door.State, []door.Decision)) {
+	state, decisions := change(n.door)
+	n.door = state
+	for _, d := range decisions {
+		j, ok := n.jobs[d.Attempt]
+		if !ok {
+			continue
+		}
+		if d.Start {
+			go n.run(j)
+			continue
+		}
+		n.meters.refused(d.Reason)
+		n.Log.Debug("attempt-refused", append(n.jobFields(j),
+			"reason", d.Reason,
+			"running", n.door.Load(time.Now()).Running,
+			"waiting", n.door.Load(time.Now()).Waiting,
+			"retry-after", d.RetryAfter,
+		)...)
+		j.append(declined(d.Reason, d.RetryAfter), true)
+	}
+}
+
+// admit returns the job of an offer, or the one reply that settles it.
+func (n *Node) admit(offer *wire.Offer) (*job, *wire.Reply) {
+	attempt, err := codec.DecodeAttempt(offer.Attempt)
+	if err != nil {
+		n.Log.Warn("offer-malformed", "id", offer.Id, "error", err)
+		return nil, declined(cyclam.ReasonWrongTarget, 0)
+	}
+	n.doorMu.Lock()
+	defer n.doorMu.Unlock()
+	meant := cyclam.Identity{
+		Instance:    cyclam.InstanceName(offer.Instance),
+		Incarnation: cyclam.Incarnation(offer.Incarnation),
+	}
+	if j, known := n.jobs[attempt]; known {
+		return j, nil
+	}
+	switch {
+	case meant != n.self && offer.Resume, n.fenced.spent.has(attempt):
+		return nil, ended(cyclam.ReasonNotRemembered)
+	case meant != n.self:
+		return nil, declined(cyclam.ReasonWrongTarget, 0)
+	case n.fenced.never.has(attempt):
+		return nil, declined(cyclam.ReasonCancelled, 0)
+	case offer.Resume:
+		n.fenced.never.add(attempt)
+		return nil, declined(cyclam.ReasonCancelled, 0)
+	case n.stopping.Load():
+		return nil, declined(cyclam.ReasonDraining, 0)
+	case cyclam.ServiceName(offer.Service) != n.Settings.Self.Service:
+		return nil, declined(cyclam.ReasonWrongTarget, 0)
+	}
+	now := time.Now()
+	j := newJob(context.Background(), offer, attempt, now)
+	n.jobs[attempt] = j
+	j.append(&wire.Reply{Kind: &wire.Reply_Accepted{Accepted: &wire.Accepted{}}}, false)
+	n.decideLocked(func(s door.State) (door.State, []door.Decision) {
+		return s.Arrive(now, door.Work{
+			Attempt:  attempt,
+			Nested:   offer.Nested,
+			Priority: int(offer.Priority),
+			Arrived:  now,
+			Goal:     now.Add(time.Duration(offer.GoalUs) * time.Microsecond),
+			Deadline: j.deadline,
+		})
+	})
+	return j, nil
+}
+
+// run works on a job that has a slot.
+func (n *Node) run(j *job) {
+	began := time.Now()
+	j.append(&wire.Reply{Kind: &wire.Reply_Started{Started: &wire.Started{}}}, false)
+	header := http.Header{}
+	for _, f := range j.offer.Headers {
+		header.Add(f.Name, f.Value)
+	}
+	n.Dialect.Stamp(header, cyclam.AttemptMeta{
+		ID:        j.offer.Id,
+		Remaining: time.Until(j.deadline),
+		Target:    n.upstreamID(),
+		Caller:    cyclam.ServiceName(j.offer.CallerService),
+	})
+	sink := &jobSink{
+		job: j,
+	}
+	err := n.origin.Do(j.ctx, origin.Request{
+		ID:         j.offer.Id,
+		Method:     j.offer.Method,
+		Host:       j.offer.Host,
+		Target:     j.offer.Target,
+		Header:     header,
+		Body:       j.offer.Body,
+		Idempotent: j.offer.Idempotent,
+	}, sink)
+	run, last := n.settle(j, sink, err, time.Since(began))
+	j.append(last, true)
+	j.cancel()
+	n.decide(func(s door.State) (door.State, []door.Decision) { return s.End(time.Now(), run) })
+}
+
+// settle tells the door and the sender how a run ended.
+func (n *Node) settle(j *job, sink *jobSink, err error, took time.Duration) (door.Run, *wire.Reply) {
+	run := door.Run{
+		Took:      took,
+		Ran:       true,
+		Load:      sink.meta.Load,
+		LoadKnown: sink.meta.LoadKnown,
+	}
+	reason := cyclam.Reason("")
+	switch {
+	case errors.Is(err, origin.ErrNotSent):
+		run.Ran, run.Failed, reason = false, true, cyclam.ReasonUpstreamDown
+	case sink.meta.Misdirected:
+		n.forgetUpstream()
+		run.Ran, reason = false, cyclam.ReasonWrongTarget
+	case sink.meta.NotRun:
+		run.Ran, run.Failed, reason = false, true, cyclam.ReasonUpstreamRefused
+	}
+	if reason != "" {
+		n.Log.Warn("upstream-did-not-run", append(n.jobFields(j), "reason", reason, "error", err)...)
+		return run, declined(reason, 0)
+	}
+	n.meters.run.Update(took)
+	switch {
+	case errors.Is(err, context.Canceled):
+		run.Ran = false
+		reason = cyclam.ReasonCancelled
+	case errors.Is(err, context.DeadlineExceeded):
+		run.Failed = true
+		reason = cyclam.ReasonExpired
+	case err != nil:
+		run.Failed = true
+		reason = cyclam.ReasonLost
+	case sink.status >= http.StatusInternalServerError:
+		run.Failed = true
+	}
+	if reason != "" {
+		n.Log.Warn("run-without-answer", append(n.jobFields(j), "reason", reason, "took", took, "error", err)...)
+	}
+	return run, ended(reason)
+}
+
+// jobSink appends an answer to a job.
+type jobSink struct {
+	job    *job
+	meta   cyclam.AnswerMeta
+	status int
+}
+
+// Head takes the beginning of an answer.
+func (s *jobSink) Head(h origin.Head) error {
+	s.meta, s.status = h.Meta, h.Status
+	if h.Meta.NotRun || h.Meta.Misdirected {
+		return nil
+	}
+	head := &wire.Head{
+		Status: uint32(h.Status),
+		Length: h.Length,
+	}
+	for name, values := range h.Header {
+		for _, value := range values {
+			head.Headers = append(head.Headers, &wire.Field{
+				Name:  name,
+				Value: value,
+			})
+		}
+	}
+	s.job.append(&wire.Reply{Kind: &wire.Reply_Head{Head: head}}, false)
+	return nil
+}
+
+// Chunk takes a piece of the body.
+func (s *jobSink) Chunk(data []byte) error {
+	if s.meta.NotRun || s.meta.Misdirected {
+		return nil
+	}
+	s.job.append(&wire.Reply{Kind: &wire.Reply_Chunk{Chunk: data}}, false)
+	return s.job.throttle()
+}
+
+func declined(reason cyclam.Reason, retryAfter time.Duration) *wire.Reply {
+	return &wire.Reply{Kind: &wire.Reply_Declined{Declined: &wire.Declined{
+		Reason:       string(reason),
+		RetryAfterUs: retryAfter.Microseconds(),
+	}}}
+}
+
+func ended(reason cyclam.Reason) *wire.Reply {
+	return &wire.Reply{Kind: &wire.Reply_End{End: &wire.End{
+		Reason: string(reason),
+	}}}
+}
+
+// revoke gives an attempt up; true means that it has not started and never will.
+func (n *Node) revoke(attempt cyclam.AttemptID) bool {
+	n.doorMu.Lock()
+	defer n.doorMu.Unlock()
+	j, known := n.jobs[attempt]
+	if !known {
+		if n.fenced.spent.has(attempt) {
+			return false
+		}
+		n.fenced.never.add(attempt)
+		return true
+	}
+	state, waited := n.door.Withdraw(attempt)
+	if !waited {
+		j.cancel()
+		return false
+	}
+	n.door = state
+	j.append(declined(cyclam.ReasonCancelled, 0), true)
+	return true
+}
+
+// orphanGrace is how long work goes on after its sender's connection broke, so
+// that the sender can ask for the answer over another one.
+const orphanGrace = 400 * time.Millisecond
+
+// release detaches a reader and gives up a job that nobody reads any more.
+func (n *Node) release(j *job) {
+	if !j.detach() {
+		return
+	}
+	time.AfterFunc(orphanGrace, func() {
+		if j.orphaned() {
+			n.revoke(j.attempt)
+		}
+	})
+}
+
+// jobMemory is how long an ended job's answer may be read again.
+const jobMemory = time.Second
+
+// forgetJobs drops the answers of ended jobs; that they ran is remembered.
+func (n *Node) forgetJobs(now time.Time) {
+	n.doorMu.Lock()
+	defer n.doorMu.Unlock()
+	for attempt, j := range n.jobs {
+		at, done := j.done()
+		if done && now.Sub(at) > jobMemory {
+			delete(n.jobs, attempt)
+			n.fenced.spent.add(attempt)
+		}
+	}
+	n.fenced.never.turn(now)
+	n.fenced.spent.turn(now)
+}
+
+func (n *Node) jobFields(j *job) []any {
+	return []any{
+		"id", j.offer.Id,
+		"attempt", j.attempt.String(),
+		"service", j.offer.Service,
+		"age", time.Since(j.arrived),
+		"left", time.Until(j.deadline),
+	}
+}
+
+// load returns what is told to other nodes.
+func (n *Node) load() *wire.Load {
+	n.doorMu.Lock()
+	l := n.door.Load(time.Now())
+	n.doorMu.Unlock()
+	return &wire.Load{
+		Running:       uint32(l.Running),
+		Waiting:       uint32(l.Waiting),
+		Limit:         uint32(l.Limit),
+		ServiceTimeUs: uint32(l.ServiceTime.Microseconds()),
+		Failing:       uint32(l.Failing * 1000),
+		Leaving:       l.Leaving || n.stopping.Load(),
+		Version:       uint64(n.version()),
+	}
+}
--- a/resource.go
+++ b/resource.go
@@ -21,6 +21,8 @@
 	KindChunk  Kind = "chunk"
 	KindClaim  Kind = "claim"
 	KindStatus Kind = "status"
+	// KindEndpoint holds what each node announces of its upstream.
+	KindEndpoint Kind = "endpoint"
 )
 
 // OperatorKinds lists the kinds that operators write.
@@ -52,6 +54,11 @@
 	Name ServiceName
 	// Timeout bounds a call that brings no deadline of its own.
 	Timeout time.Duration
+	// HealthPath is where an upstream of the service tells its health.
+	HealthPath string
+	// Connections is how many connections one upstream accepts; zero means that
+	// no limit was declared.
+	Connections int
 }
 
 // Key returns the service's key.
@@ -71,6 +78,19 @@
 	Timeout time.Duration
 	// IdempotentMethods lists methods that may run more than once.
 	IdempotentMethods []string
+	// Host limits the route to requests for one host; empty takes every host.
+	Host string
+	// Kind says what may be repeated; its zero value leaves it to the method.
+	Kind RouteKind
+	// Split shares requests out among services; Service is empty then.
+	Split []Share
+	// Attempts is how many upstreams one request is sent to at most; zero
+	// leaves it to the node.
+	Attempts int
+	// Goal is the time by which an answer is wanted; zero means the timeout.
+	Goal time.Duration
+	// Priority ranks the route; 0 is the most urgent.
+	Priority int
 }
 
 // Key returns the route's key.
@@ -83,7 +103,14 @@
 
 // Idempotent reports whether calls with the method may run more than once.
 func (r Route) Idempotent(method string) bool {
-	return slices.Contains(r.IdempotentMethods, method)
+	switch r.Kind {
+	case RouteIdempotent, RouteDownload:
+		return true
+	case RouteNonIdempotent:
+		return false
+	default:
+		return slices.Contains(r.IdempotentMethods, method)
+	}
 }
 
 // PlacementRule limits where calls for a service may be served.
