Requests of running work go first, bytes between places are weighed, late hints

Ruled out: recognising nested requests by their address (it is the machine's for callers too). Change: the door orders by nesting, rank, whether the goal can still be met, goal; it learns the time of a run for each route. Placement adds the cost of a request's bytes. Hints are looked at for as long as a watch waits. After the platform has noticed a stop, requests that can't end in time are refused.

--- a/dialect.go
+++ b/dialect.go
@@ -10,6 +10,9 @@
 type CallMeta struct {
 	// ID is the caller's id of this request; empty if it sent none.
 	ID string
+	// Parent is the id of the request whose work made this one; empty if it is
+	// not told.
+	Parent string
 	// Remaining is how long the caller waits; zero if it does not say.
 	Remaining time.Duration
 }
--- a/door/door.go
+++ b/door/door.go
@@ -10,6 +10,7 @@
 package door
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -28,6 +29,8 @@
 // Work is one attempt that asks for a slot.
 type Work struct {
 	Attempt cyclam.AttemptID
+	// Route names the kind of work; the time of a run is learnt for each.
+	Route string
 	// Nested marks a request made by running work.
 	Nested bool
 	// Priority is the route's rank; 0 is the most urgent.
@@ -58,8 +61,9 @@
 	leaving bool
 	closeAt time.Time
 	down    bool
-	// mean is the moving average of the time of a run.
-	mean time.Duration
+	// mean is the moving average of the time of a run, means that for each route.
+	mean  time.Duration
+	means map[string]time.Duration
 	// failing is the moving average of failed answers.
 	failing float64
 	// extra counts what the upstream works on beyond what was sent to it.
@@ -181,6 +185,7 @@
 
 // Run tells how one run ended.
 type Run struct {
+	Route  string
 	Took   time.Duration
 	Failed bool
 	// Ran is set where the upstream worked on it; Took counts only then.
@@ -195,6 +200,12 @@
 	s.running = max(0, s.running-1)
 	if run.Ran && !run.Failed {
 		s.mean += time.Duration(meanWeight * float64(run.Took-s.mean))
+		before := s.expected(run.Route)
+		s.means = maps.Clone(s.means)
+		if s.means == nil {
+			s.means = map[string]time.Duration{}
+		}
+		s.means[run.Route] = before + time.Duration(meanWeight*float64(run.Took-before))
 	}
 	failed := 0.0
 	if run.Failed {
@@ -208,6 +219,14 @@
 	return s.advance(now)
 }
 
+// expected returns the expected time of a run.
+func (s State) expected(route string) time.Duration {
+	if mean, ok := s.means[route]; ok {
+		return mean
+	}
+	return s.mean
+}
+
 // Withdraw takes work out of the queue; false means that it does not wait.
 func (s State) Withdraw(attempt cyclam.AttemptID) (State, bool) {
 	at := slices.IndexFunc(s.queue, func(w Work) bool { return w.Attempt == attempt })
--- a/door/queue.go
+++ b/door/queue.go
@@ -16,31 +16,37 @@
 const retryFloor = 50 * time.Millisecond
 
 // latest returns by when a run has to be expected to end for work to wait.
+// Nested work may use all of its time: the work that waits for it fails with it.
 func (w Work) latest() time.Time {
-	if !w.Goal.Before(w.Deadline) {
+	if w.Nested || !w.Goal.Before(w.Deadline) {
 		return w.Deadline
 	}
 	return w.Goal.Add(time.Duration(lateShare * float64(w.Deadline.Sub(w.Goal))))
 }
 
 // before orders the queue: requests of running work, then by rank, then what can
-// still be answered on time, then by arrival.
+// still be answered on time, then by how soon an answer is wanted.
 func (s State) before(now time.Time) func(a, b Work) int {
-	onTime := now.Add(s.mean)
 	return func(a, b Work) int {
+		onTimeA, onTimeB := s.onTime(now, a), s.onTime(now, b)
 		switch {
 		case a.Nested != b.Nested:
 			return first(a.Nested)
 		case a.Priority != b.Priority:
 			return a.Priority - b.Priority
-		case a.Goal.Before(onTime) != b.Goal.Before(onTime):
-			return first(!a.Goal.Before(onTime))
+		case onTimeA != onTimeB:
+			return first(onTimeA)
 		default:
-			return a.Arrived.Compare(b.Arrived)
+			return a.Goal.Compare(b.Goal)
 		}
 	}
 }
 
+// onTime reports whether work that starts now ends by its goal.
+func (s State) onTime(now time.Time, w Work) bool {
+	return !now.Add(s.expected(w.Route)).After(w.Goal)
+}
+
 func first(yes bool) int {
 	if yes {
 		return -1
@@ -63,7 +69,7 @@
 	kept := s.queue[:0]
 	for _, w := range s.queue {
 		ahead := len(kept)
-		end := now.Add(s.wait(ahead, limit) + s.mean)
+		end := now.Add(s.wait(ahead, limit) + s.expected(w.Route))
 		switch {
 		case !w.Deadline.After(now):
 			decisions = append(decisions, refuse(w.Attempt, cyclam.ReasonExpired, 0))
--- a/place/place.go
+++ b/place/place.go
@@ -32,6 +32,10 @@
 type Tuning struct {
 	// FailureCost is the time that a failed answer costs a caller.
 	FailureCost time.Duration
+	// CentreCost and RegionCost weigh each kilobyte that crosses to another data
+	// centre or region, where bytes are paid for and the links are narrow.
+	CentreCost time.Duration
+	RegionCost time.Duration
 	// FirstServiceTime is assumed of an upstream that has told nothing yet.
 	FirstServiceTime time.Duration
 }
@@ -84,16 +88,37 @@
 // longer at a full upstream than at an idle one.
 const fullCost = 4
 
+// Request is what the choice needs to know of a request.
+type Request struct {
+	From cyclam.Place
+	// Bytes is the expected size of the request and its answer together.
+	Bytes int
+}
+
+// bytesCost returns the time that the way of a request's bytes is worth.
+func (t Tuning) bytesCost(r Request, to cyclam.Place) time.Duration {
+	switch {
+	case r.From.DataCentre == to.DataCentre:
+		return 0
+	case r.From.Region == to.Region:
+		return t.CentreCost * time.Duration(r.Bytes) / kilobyte
+	default:
+		return t.RegionCost * time.Duration(r.Bytes) / kilobyte
+	}
+}
+
+const kilobyte = 1000
+
 // Choose returns the index of the view that takes an attempt; false means that
 // there is none. Pick is a source of numbers in [0, n).
-func (t Tuning) Choose(now time.Time, views []View, pick func(n int) int) (int, bool) {
+func (t Tuning) Choose(now time.Time, r Request, views []View, pick func(n int) int) (int, bool) {
 	if len(views) == 0 {
 		return 0, false
 	}
 	costs := make([]time.Duration, len(views))
 	best := 0
 	for i, v := range views {
-		costs[i] = t.Expect(now, v)
+		costs[i] = t.Expect(now, v) + t.bytesCost(r, v.Endpoint.Place)
 		if costs[i] < costs[best] {
 			best = i
 		}
--- a/relay/call.go
+++ b/relay/call.go
@@ -337,13 +337,46 @@
 	if len(fresh) == 0 {
 		return place.View{}, false
 	}
-	at, ok := n.placing.Choose(now, fresh, rand.IntN)
+	at, ok := n.placing.Choose(now, place.Request{
+		From:  n.Settings.Self.Place,
+		Bytes: n.size(c.route),
+	}, fresh, rand.IntN)
 	if !ok {
 		return place.View{}, false
 	}
 	return fresh[at], true
 }
 
+// The sizes in bytes that are assumed of a route's requests with their answers.
+const (
+	firstSize         = 4000
+	firstDownloadSize = 64000
+)
+
+// sizeWeight is the weight of a new size in the moving average.
+const sizeWeight = 0.05
+
+// size returns the expected bytes of a request of a route and its answer.
+func (n *Node) size(route cyclam.Route) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if size, ok := n.sizes[route.Name]; ok {
+		return int(size)
+	}
+	if route.Kind == cyclam.RouteDownload {
+		return firstDownloadSize
+	}
+	return firstSize
+}
+
+// sized takes in the bytes of a request and its answer.
+func (n *Node) sized(route cyclam.Route, bytes int) {
+	before := float64(n.size(route))
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.sizes[route.Name] = before + sizeWeight*(float64(bytes)-before)
+}
+
 // ownView is the view of the upstream beside this node, which is never stale.
 func (n *Node) ownView(service cyclam.ServiceName, now time.Time) (place.View, bool) {
 	if service != n.Settings.Self.Service || n.stopping.Load() {
--- a/relay/handle.go
+++ b/relay/handle.go
@@ -54,17 +54,32 @@
 		return
 	}
 	c := n.newCall(r, meta, route, began)
+	if n.tooLate(began, c.deadline.Sub(began)) {
+		n.answer(w, r, meta.ID, began, nil, result{
+			verdict: cyclam.Refused(cyclam.ReasonDraining, leastRetryAfter),
+		})
+		return
+	}
 	c.version = t.Config.Version
 	c.service = n.part(t, route)
 	c.offer.Target = target
+	c.offer.Route = route.Name
+	c.offer.Nested = n.runs(meta.Parent)
 	c.offer.Body = body
 	n.earn(c.service)
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	end := c.run(ctx)
+	if end.verdict.Outcome == cyclam.Done {
+		n.sized(route, len(body)+len(end.verdict.Answer.Body)+fieldBytes)
+	}
 	n.answer(w, r, meta.ID, began, c, end)
 }
 
+// fieldBytes is what the header fields of a request and its answer take on the
+// way between nodes.
+const fieldBytes = 1000
+
 func (n *Node) newCall(r *http.Request, meta cyclam.CallMeta, route cyclam.Route, began time.Time) *call {
 	timeout := defaultTimeout
 	if meta.Remaining > 0 {
@@ -194,7 +209,7 @@
 // answer gives a caller the final answer.
 func (n *Node) answer(w http.ResponseWriter, r *http.Request, id string, began time.Time, c *call, end result) {
 	took := time.Since(began)
-	n.noteEnd(r.Context(), id, took, c, end)
+	n.noteEnd(r, id, took, c, end)
 	v := end.verdict
 	switch v.Outcome {
 	case cyclam.Done:
@@ -257,7 +272,7 @@
 
 // noteEnd counts and logs how a request ended: every failure, and a sample of
 // the rest.
-func (n *Node) noteEnd(ctx context.Context, id string, took time.Duration, c *call, end result) {
+func (n *Node) noteEnd(r *http.Request, id string, took time.Duration, c *call, end result) {
 	n.meters.ended(end.verdict, took)
 	v := end.verdict
 	if c == nil {
@@ -278,7 +293,8 @@
 		"took", took,
 		"left", time.Until(c.deadline),
 		"retry-after", v.RetryAfter,
-		"caller-gone", ctx.Err() != nil,
+		"caller", r.RemoteAddr,
+		"caller-gone", r.Context().Err() != nil,
 	}
 	if v.Outcome == cyclam.Done && v.Answer.Status < http.StatusInternalServerError {
 		n.Log.Debug("request-done", fields...)
--- a/relay/node.go
+++ b/relay/node.go
@@ -21,9 +21,6 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// ErrStopped ends Run after a planned stop.
-var ErrStopped = errors.New("node has stopped")
-
 // Node is one node; set its exported fields before Run.
 type Node struct {
 	Settings Settings
@@ -40,21 +37,28 @@
 	next   atomic.Uint64
 	// hint is signalled when another node shows a newer configuration.
 	hint chan cyclam.Version
+	// exitAt is when a stopping process has to be done.
+	exitAt atomic.Pointer[time.Time]
+	server *http.Server
 
 	current  atomic.Pointer[table.Table]
 	raw      atomic.Pointer[rawConfig]
 	stopping atomic.Bool
 	clients  atomic.Int64
 
-	mu      sync.Mutex
-	fleet   fleet
-	splits  map[string]table.Split
+	mu     sync.Mutex
+	fleet  fleet
+	splits map[string]table.Split
+	// sizes holds the mean bytes of a route's requests and answers.
+	sizes   map[string]float64
 	budgets map[cyclam.ServiceName]budget.State
 	placing place.Tuning
 
-	doorMu   sync.Mutex
-	door     door.State
-	jobs     map[cyclam.AttemptID]*job
+	doorMu sync.Mutex
+	door   door.State
+	jobs   map[cyclam.AttemptID]*job
+	// running counts the attempts at the own upstream by their callers' ids.
+	running  map[string]int
 	fenced   fences
 	upstream upstreamState
 
@@ -75,6 +79,13 @@
 // typical goal of the deployments.
 const failureCost = 600 * time.Millisecond
 
+// The weights of a kilobyte between places: the platform charges about four
+// times as much between regions as between data centres of one.
+const (
+	centreCost = 4 * time.Millisecond
+	regionCost = 15 * time.Millisecond
+)
+
 // firstServiceTime is assumed of an upstream of which nothing is known.
 const firstServiceTime = 200 * time.Millisecond
 
@@ -99,9 +110,12 @@
 	n.wakeEntry = make(chan struct{}, 1)
 	n.fleet = newFleet(n.Settings.Self)
 	n.splits = map[string]table.Split{}
+	n.sizes = map[string]float64{}
 	n.budgets = map[cyclam.ServiceName]budget.State{}
 	n.placing = place.Tuning{
 		FailureCost:      failureCost,
+		CentreCost:       centreCost,
+		RegionCost:       regionCost,
 		FirstServiceTime: firstServiceTime,
 	}
 	n.door = door.New(door.Tuning{
@@ -109,11 +123,11 @@
 		Drain: n.Settings.Drain,
 	})
 	n.jobs = map[cyclam.AttemptID]*job{}
+	n.running = map[string]int{}
 	n.links = map[string]*link{}
 }
 
-// Run serves until the context ends or a planned stop is done; the error after
-// a planned stop is ErrStopped.
+// Run serves until the context ends.
 func (n *Node) Run(ctx context.Context) error {
 	n.prepare()
 	callers, err := net.Listen("tcp", n.Settings.Callers)
@@ -190,20 +204,31 @@
 		return
 	}
 	began := time.Now()
+	exitAt := began.Add(n.Settings.Grace - exitMargin)
+	n.exitAt.Store(&exitAt)
 	n.Log.Info("stop-begun", "grace", n.Settings.Grace)
 	n.announce()
-	for {
-		age := time.Since(began)
-		if age >= n.Settings.Grace-exitMargin || age >= readyMisses && n.idle() {
-			n.Log.Info("node-stopped", "after", age, "callers-in-flight", n.clients.Load())
-			return
-		}
+	for time.Since(began) < readyMisses || !n.idle() && time.Now().Before(exitAt) {
 		select {
 		case <-ctx.Done():
 			return
 		case <-time.After(exitPoll):
 		}
 	}
+	ctx, cancel := context.WithDeadline(ctx, exitAt)
+	defer cancel()
+	err := n.server.Shutdown(ctx)
+	n.Log.Info("node-stopped", "after", time.Since(began), "callers-in-flight", n.clients.Load(), "error", err)
+}
+
+// tooLate reports whether a request that may take some time can't end before
+// the process does. Until the platform has noticed the stop all are taken.
+func (n *Node) tooLate(now time.Time, timeout time.Duration) bool {
+	exitAt := n.exitAt.Load()
+	if exitAt == nil || now.Before(exitAt.Add(exitMargin-n.Settings.Grace+readyMisses)) {
+		return false
+	}
+	return now.Add(timeout).After(*exitAt)
 }
 
 func (n *Node) idle() bool {
@@ -217,14 +242,14 @@
 	idle := &idleConns{
 		since: map[net.Conn]time.Time{},
 	}
-	server := &http.Server{
+	n.server = &http.Server{
 		Handler:           http.HandlerFunc(n.handle),
 		ReadHeaderTimeout: headerTimeoutCap,
 		ConnState:         idle.changed,
 		ErrorLog:          n.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	group.Go(func() error {
-		err := server.Serve(listener)
+		err := n.server.Serve(listener)
 		if errors.Is(err, http.ErrServerClosed) {
 			return nil
 		}
@@ -232,6 +257,6 @@
 	})
 	group.Go(func() error {
 		idle.sweep(ctx, n.limits)
-		return errors.Wrap(server.Close(), "close server for callers")
+		return errors.Wrap(n.server.Close(), "close server for callers")
 	})
 }
--- a/relay/store.go
+++ b/relay/store.go
@@ -71,8 +71,10 @@
 		err = f.watch(ctx, list.Revision)
 		if err != nil && ctx.Err() == nil {
 			f.node.Log.Warn("watch-ended", "kind", f.kind, "error", err)
-			lost = !errors.Is(err, cyclam.ErrCompacted)
-			pause(ctx, 0)
+			lost = !errors.Is(err, cyclam.ErrCompacted) && !errors.Is(err, errNudged)
+			if lost {
+				pause(ctx, 0)
+			}
 		}
 	}
 	return nil
@@ -110,26 +112,34 @@
 func (f *follower) wait(ctx context.Context, from uint64) (cyclam.ObjectChanges, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	done := make(chan struct{})
-	defer close(done)
-	go func() {
+	if f.nudged != nil {
+		go f.doubt(ctx, cancel)
+	}
+	changes, err := f.node.Platform.Watch(ctx, from, watchWait, f.kind)
+	if cause := context.Cause(ctx); err != nil && errors.Is(cause, errNudged) {
+		return changes, cause
+	}
+	return changes, err
+}
+
+// doubt ends a watch that has not brought a version which another node shows.
+func (f *follower) doubt(ctx context.Context, cancel context.CancelCauseFunc) {
+	for {
 		select {
-		case <-done:
+		case <-ctx.Done():
+			return
 		case version := <-f.nudged:
 			select {
-			case <-done:
+			case <-ctx.Done():
+				return
 			case <-time.After(hintPatience):
-				if f.node.version() < version {
-					cancel(errNudged)
-				}
+			}
+			if f.node.version() < version {
+				cancel(errNudged)
+				return
 			}
 		}
-	}()
-	changes, err := f.node.Platform.Watch(ctx, from, watchWait, f.kind)
-	if cause := context.Cause(ctx); err != nil && errors.Is(cause, errNudged) {
-		return changes, cause
 	}
-	return changes, err
 }
 
 // watchConfig keeps the configuration in force current.
--- a/relay/work.go
+++ b/relay/work.go
@@ -81,6 +81,7 @@
 	n.decideLocked(func(s door.State) (door.State, []door.Decision) {
 		return s.Arrive(now, door.Work{
 			Attempt:  attempt,
+			Route:    offer.Route,
 			Nested:   offer.Nested,
 			Priority: int(offer.Priority),
 			Arrived:  now,
@@ -91,9 +92,23 @@
 	return j, nil
 }
 
+// runs reports whether the own upstream works on a caller's request.
+func (n *Node) runs(id string) bool {
+	if id == "" {
+		return false
+	}
+	n.doorMu.Lock()
+	defer n.doorMu.Unlock()
+	return n.running[id] > 0
+}
+
 // run works on a job that has a slot.
 func (n *Node) run(j *job) {
 	began := time.Now()
+	n.doorMu.Lock()
+	n.running[j.offer.Id]++
+	n.doorMu.Unlock()
+	defer n.leave(j.offer.Id)
 	j.append(&wire.Reply{Kind: &wire.Reply_Started{Started: &wire.Started{}}}, false)
 	header := http.Header{}
 	for _, f := range j.offer.Headers {
@@ -123,9 +138,20 @@
 	n.decide(func(s door.State) (door.State, []door.Decision) { return s.End(time.Now(), run) })
 }
 
+// leave takes a request out of those that run.
+func (n *Node) leave(id string) {
+	n.doorMu.Lock()
+	defer n.doorMu.Unlock()
+	n.running[id]--
+	if n.running[id] == 0 {
+		delete(n.running, id)
+	}
+}
+
 // settle tells the door and the sender how a run ended.
 func (n *Node) settle(j *job, sink *jobSink, err error, took time.Duration) (door.Run, *wire.Reply) {
 	run := door.Run{
+		Route:     j.offer.Route,
 		Took:      took,
 		Ran:       true,
 		Load:      sink.meta.Load,
