--- a/door/queue.go
+++ b/door/queue.go
@@ -24,6 +24,16 @@
 	return w.Goal.Add(time.Duration(lateShare * float64(w.Deadline.Sub(w.Goal))))
 }
 
+// holdShare is the part of its time for which work waits once it can't be
+// answered on time: others keep passing it, and its caller may try elsewhere.
+const holdShare = 0.4
+
+// heldOut reports whether late work has waited for long enough.
+func (s State) heldOut(now time.Time, w Work) bool {
+	limit := time.Duration(holdShare * float64(w.Deadline.Sub(w.Arrived)))
+	return !w.Nested && !s.onTime(now, w) && now.Sub(w.Arrived) > limit
+}
+
 // before orders the queue: requests of running work, then by rank, then what can
 // still be answered on time, then by how soon an answer is wanted.
 func (s State) before(now time.Time) func(a, b Work) int {
@@ -76,7 +86,7 @@
 		case s.running < limit:
 			s.running++
 			decisions = append(decisions, start(w.Attempt))
-		case end.After(w.latest()):
+		case end.After(w.latest()), s.heldOut(now, w):
 			decisions = append(decisions, refuse(w.Attempt, cyclam.ReasonShed, s.backoff(now, ahead)))
 		default:
 			kept = append(kept, w)
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -149,7 +149,8 @@
 			continue
 		}
 		meta := p.Dialect.Answer(resp.StatusCode, resp.Header)
-		if req.ID != "" && meta.ID != req.ID && !(meta.ID == "" && meta.NotRun) {
+		anonymous := meta.ID == "" && (meta.NotRun || meta.Misdirected)
+		if req.ID != "" && meta.ID != req.ID && !anonymous {
 			if err := skipBody(resp); err != nil {
 				return Head{}, nil, err
 			}
@@ -239,10 +240,12 @@
 func target(raw string) *url.URL {
 	if strings.HasPrefix(raw, "//") {
 		path, query, _ := strings.Cut(raw, "?")
-		return &url.URL{
-			Path:     path,
-			RawPath:  path,
-			RawQuery: query,
+		if plain, err := url.PathUnescape(path); err == nil {
+			return &url.URL{
+				Path:     plain,
+				RawPath:  path,
+				RawQuery: query,
+			}
 		}
 	}
 	return &url.URL{
--- /dev/null
+++ b/origin/origin_test.go
@@ -0,0 +1,237 @@
+package origin
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/pkg/errors"
+)
+
+type dialect struct {
+	cyclam.Dialect
+}
+
+func (dialect) Answer(status int, h http.Header) cyclam.AnswerMeta {
+	return cyclam.AnswerMeta{
+		ID:          h.Get("X-Id"),
+		Signed:      h.Get("X-Signed") != "",
+		NotRun:      h.Get("X-Not-Run") != "",
+		Misdirected: status == http.StatusMisdirectedRequest,
+	}
+}
+
+// script is a raw upstream: it reads requests and writes what it is told, with
+// the request's id in place of $ID.
+type script struct {
+	address string
+	conns   atomic.Int64
+	targets chan string
+}
+
+// newScript answers the n-th request of each connection with answers[n]; the
+// connection ends after the last one, by a reset where it ends with "RST".
+func newScript(t *testing.T, answers ...string) *script {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	s := &script{
+		address: l.Addr().String(),
+		targets: make(chan string, 16),
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.conns.Add(1)
+			go s.serve(c, answers)
+		}
+	}()
+	return s
+}
+
+func (s *script) serve(c net.Conn, answers []string) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for _, answer := range answers {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		select {
+		case s.targets <- req.RequestURI:
+		default:
+		}
+		text, reset := strings.CutSuffix(answer, "RST")
+		_, _ = io.WriteString(c, strings.ReplaceAll(text, "$ID", req.Header.Get("X-Id")))
+		if reset {
+			<-time.After(20 * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0)
+			return
+		}
+	}
+}
+
+const good = "HTTP/1.1 200 OK\r\nX-Id: $ID\r\nX-Signed: 1\r\nContent-Length: 4\r\n\r\ngood"
+
+type sink struct {
+	head Head
+	body strings.Builder
+}
+
+func (s *sink) Head(h Head) error {
+	s.head = h
+	return nil
+}
+
+func (s *sink) Chunk(b []byte) error {
+	s.body.Write(b)
+	return nil
+}
+
+func do(t *testing.T, p *Pool, id string) (*sink, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	out := &sink{}
+	err := p.Do(ctx, Request{
+		ID:         id,
+		Method:     http.MethodGet,
+		Host:       "h.example",
+		Target:     "//a%2F?x=%20",
+		Header:     http.Header{"X-Id": {id}},
+		Idempotent: true,
+	}, out)
+	return out, err
+}
+
+func pool(address string) *Pool {
+	return &Pool{
+		Address: address,
+		Dialect: dialect{},
+	}
+}
+
+func TestAnswers(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		answer string
+		body   string
+		fails  bool
+	}{
+		{"with a length", good, "good", false},
+		{"in chunks", "HTTP/1.1 200 OK\r\nX-Id: $ID\r\nX-Signed: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\n\r\n", "good", false},
+		{"ended by its connection", "HTTP/1.1 200 OK\r\nX-Id: $ID\r\nX-Signed: 1\r\n\r\ngood", "good", false},
+		{"reset without a length", "HTTP/1.1 200 OK\r\nX-Id: $ID\r\nX-Signed: 1\r\n\r\ngooRST", "", true},
+		{"cut short", "HTTP/1.1 200 OK\r\nX-Id: $ID\r\nX-Signed: 1\r\nContent-Length: 9\r\n\r\ngood", "", true},
+		{"chunks cut short", "HTTP/1.1 200 OK\r\nX-Id: $ID\r\nX-Signed: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n", "", true},
+		{"no protocol", "what?\r\n\r\n", "", true},
+		{"unsigned success", "HTTP/1.1 200 OK\r\nX-Id: $ID\r\nContent-Length: 4\r\n\r\ngood", "", true},
+		{"another request's", "HTTP/1.1 200 OK\r\nX-Id: other\r\nX-Signed: 1\r\nContent-Length: 3\r\n\r\nbad", "", true},
+		{"after another request's", "HTTP/1.1 200 OK\r\nX-Id: other\r\nX-Signed: 1\r\nContent-Length: 3\r\n\r\nbad" + good, "good", false},
+		{"after an interim answer", "HTTP/1.1 100 Continue\r\n\r\n" + good, "good", false},
+		{"failure", "HTTP/1.1 500 Oops\r\nX-Id: $ID\r\nX-Signed: 1\r\nContent-Length: 4\r\n\r\noops", "oops", false},
+		{"refusal without an id", "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", "", false},
+		{"another upstream", "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n", "", false},
+		{"nothing", "RST", "", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newScript(t, c.answer)
+			out, err := do(t, pool(s.address), "id-1")
+			if failed := err != nil; failed != c.fails {
+				t.Fatalf("got error %v, want failure %v", err, c.fails)
+			}
+			if got := out.body.String(); !c.fails && got != c.body {
+				t.Errorf("body: got %q, want %q", got, c.body)
+			}
+			if got, want := <-s.targets, "//a%2F?x=%20"; got != want {
+				t.Errorf("target: got %q, want %q", got, want)
+			}
+		})
+	}
+}
+
+func TestReuse(t *testing.T) {
+	s := newScript(t, good, good, good)
+	p := pool(s.address)
+	for range 3 {
+		if _, err := do(t, p, "id"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got, want := s.conns.Load(), int64(1); got != want {
+		t.Errorf("connections: got %d, want %d", got, want)
+	}
+}
+
+// Bytes after a complete answer belong to nobody: their connection is not used
+// again, whether they come with it or later.
+func TestExtraBytes(t *testing.T) {
+	s := newScript(t, good+good, good)
+	p := pool(s.address)
+	for range 4 {
+		out, err := do(t, p, "id")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, want := out.body.String(), "good"; got != want {
+			t.Errorf("got %q, want %q", got, want)
+		}
+	}
+	if got, want := s.conns.Load(), int64(4); got != want {
+		t.Errorf("connections: got %d, want %d", got, want)
+	}
+}
+
+// A connection that the upstream closed while it was idle is not used.
+func TestIdleClose(t *testing.T) {
+	s := newScript(t, good)
+	p := pool(s.address)
+	for range 3 {
+		if _, err := do(t, p, "id"); err != nil {
+			t.Fatal(err)
+		}
+		<-time.After(30 * time.Millisecond)
+	}
+	if got, want := s.conns.Load(), int64(3); got != want {
+		t.Errorf("connections: got %d, want %d", got, want)
+	}
+}
+
+func TestNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	_ = l.Close()
+	if _, err := do(t, pool(address), "id"); !errors.Is(err, ErrNotSent) {
+		t.Errorf("got %v, want that nothing was sent", err)
+	}
+}
+
+func TestKeptFor(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"":                  defaultIdle,
+		"timeout=10":        7 * time.Second,
+		"max=5, timeout=10": 7 * time.Second,
+		"timeout=soon":      defaultIdle,
+		"timeout=0":         0,
+	} {
+		if got := keptFor(http.Header{"Keep-Alive": {text}}); got != want {
+			t.Errorf("%q: got %v, want %v", text, got, want)
+		}
+	}
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -233,6 +233,9 @@
 	answer := cyclam.Answer{
 		Status: int(h.Status),
 	}
+	if h.Length > 0 && h.Length <= holdLimit {
+		answer.Body = make([]byte, 0, h.Length)
+	}
 	for _, f := range h.Headers {
 		answer.Headers = append(answer.Headers, cyclam.Header{
 			Name:  f.Name,
--- /dev/null
+++ b/relay/logs_test.go
@@ -0,0 +1,43 @@
+package relay
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"time"
+)
+
+// The reader of the process's output has stopped reading: writers go on, and the
+// lines that were left out are counted once it reads again.
+func TestBlockedOutput(t *testing.T) {
+	r, out := io.Pipe()
+	w := NewLogWriter(out)
+	done := make(chan struct{})
+	const lines = 3 * logBacklog
+	go func() {
+		defer close(done)
+		for range lines {
+			_, _ = w.Write([]byte("line\n"))
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("writers wait for the reader")
+	}
+	read := make(chan string)
+	go func() {
+		data, _ := io.ReadAll(r)
+		read <- string(data)
+	}()
+	_, _ = w.Write([]byte("last\n"))
+	w.Close()
+	_ = out.Close()
+	text := <-read
+	if !strings.Contains(text, "log-lines-dropped: count=") {
+		t.Error("got no count of the lines that were dropped")
+	}
+	if got, most := strings.Count(text, "line\n"), lines; got == 0 || got >= most {
+		t.Errorf("lines: got %d, want some and fewer than %d", got, most)
+	}
+}
--- a/relay/node.go
+++ b/relay/node.go
@@ -37,6 +37,8 @@
 	next   atomic.Uint64
 	// hint is signalled when another node shows a newer configuration.
 	hint chan cyclam.Version
+	// up is set once Run has prepared everything that other methods use.
+	up atomic.Bool
 	// exitAt is when a stopping process has to be done.
 	exitAt atomic.Pointer[time.Time]
 	server *http.Server
@@ -130,6 +132,7 @@
 // Run serves until the context ends.
 func (n *Node) Run(ctx context.Context) error {
 	n.prepare()
+	tuneMemory(n.Settings.Memory)
 	callers, err := net.Listen("tcp", n.Settings.Callers)
 	if err != nil {
 		return cyclam.AtStep("listen for callers", n.Settings.Callers, err)
@@ -147,6 +150,7 @@
 	)
 	n.serveCallers(ctx, group, callers)
 	n.servePeers(ctx, group, peers)
+	n.up.Store(true)
 	group.Go(func() error { return n.watchConfig(ctx) })
 	group.Go(func() error { return n.watchFleet(ctx) })
 	group.Go(func() error { return n.keepEntry(ctx) })
@@ -157,7 +161,7 @@
 
 // Ready reports whether callers may be sent here.
 func (n *Node) Ready() bool {
-	if n.stopping.Load() || n.current.Load() == nil {
+	if !n.up.Load() || n.stopping.Load() || n.current.Load() == nil {
 		return false
 	}
 	n.mu.Lock()
@@ -200,7 +204,7 @@
 // served until they have gone elsewhere, and what is in flight ends. It returns
 // when the process may exit.
 func (n *Node) Stop(ctx context.Context) {
-	if !n.stopping.CompareAndSwap(false, true) {
+	if !n.up.Load() || !n.stopping.CompareAndSwap(false, true) {
 		return
 	}
 	began := time.Now()
--- a/relay/upstream.go
+++ b/relay/upstream.go
@@ -25,8 +25,14 @@
 // ErrForeignNews refuses news of an upstream that is not beside this node.
 var ErrForeignNews = errors.New("news of an upstream that is not beside this node")
 
+// ErrNotStarted refuses news for as long as the node prepares itself.
+var ErrNotStarted = errors.New("node has not started yet")
+
 // Announce takes in what the upstream says of itself. Older news change nothing.
 func (n *Node) Announce(news cyclam.UpstreamNews) error {
+	if !n.up.Load() {
+		return cyclam.AtStep("announce", news.Address, ErrNotStarted)
+	}
 	if news.Address != n.Settings.Upstream || news.Service != n.Settings.Self.Service {
 		return cyclam.AtStep("announce", news.Address, ErrForeignNews)
 	}
@@ -86,7 +92,10 @@
 }
 
 // Withdraw takes in that an upstream is about to end.
-func (n *Node) Withdraw(id string, born time.Time) {
+func (n *Node) Withdraw(id string, born time.Time) error {
+	if !n.up.Load() {
+		return cyclam.AtStep("withdraw", id, ErrNotStarted)
+	}
 	now := time.Now()
 	n.doorMu.Lock()
 	current := n.upstream.id == id && (born.IsZero() || n.upstream.born.IsZero() || n.upstream.born.Equal(born))
@@ -102,6 +111,7 @@
 	if current {
 		n.announce()
 	}
+	return nil
 }
 
 func (n *Node) upstreamID() string {
--- a/relay/work.go
+++ b/relay/work.go
@@ -280,8 +280,9 @@
 	})
 }
 
-// jobMemory is how long an ended job's answer may be read again.
-const jobMemory = time.Second
+// jobMemory is how long an ended job's answer may be read again by a sender
+// whose connection broke.
+const jobMemory = 700 * time.Millisecond
 
 // forgetJobs drops the answers of ended jobs; that they ran is remembered.
 func (n *Node) forgetJobs(now time.Time) {
