--- a/origin/origin.go
+++ b/origin/origin.go
@@ -109,7 +109,11 @@
 
 func (p *Pool) exchange(c *conn, req Request, sink Sink) (bool, error) {
 	sent := make(chan error, 1)
-	go func() { sent <- c.send(req) }()
+	if len(req.Body) == 0 {
+		sent <- c.send(req)
+	} else {
+		go func() { sent <- c.send(req) }()
+	}
 	head, body, err := p.answer(c, req)
 	if err != nil {
 		c.abort()
@@ -126,7 +130,7 @@
 	select {
 	case werr := <-sent:
 		reusable = werr == nil
-	default:
+	case <-time.After(writeGrace):
 		// The answer came before the whole request was read: what is left of
 		// the request must not be taken for the next one.
 		c.abort()
@@ -233,6 +237,10 @@
 	return errors.Wrap(w.Flush(), "write request")
 }
 
+// writeGrace is how long the rest of a request may take to leave after its whole
+// answer came.
+const writeGrace = 20 * time.Millisecond
+
 // writeBuffer holds most requests whole, so that they leave in one write.
 const writeBuffer = 8 << 10
 
