Late work waits in bursts only; a run needs room before its goal; told loads age slowly

Cause: at the worst load of hgss half of the late answers were begun at the last moment before their goal, and callers' nodes took a load told 0.5 s ago for an empty queue.

--- a/door/door.go
+++ b/door/door.go
@@ -56,6 +56,8 @@
 
 	running int
 	queue   []Work
+	// busySince is when the queue was empty last; zero while it is.
+	busySince time.Time
 	// known is set once an upstream has told or shown that it is there.
 	known   bool
 	leaving bool
--- a/door/door_test.go
+++ b/door/door_test.go
@@ -105,7 +105,7 @@
 		t.Errorf("retry after: got %v, want at least the time of one run, %v", after, s.mean)
 	}
 	for _, w := range s.queue {
-		if end := at(1).Add(s.wait(0, 1) + s.mean); end.After(w.latest()) {
+		if end := at(1).Add(s.wait(0, 1) + s.mean); end.After(s.latest(at(1), w)) {
 			t.Errorf("kept work that can't end in time")
 		}
 	}
--- a/door/queue.go
+++ b/door/queue.go
@@ -8,19 +8,33 @@
 )
 
 // lateShare is the part of the time between goal and deadline for which work
-// may be expected to end late and still wait: beyond it, a slot serves another
-// caller on time.
+// may be expected to end late and still wait, as it may in a short burst.
 const lateShare = 0.5
 
+// burstLimit is how long work may wait without a break before the load counts as
+// more than a burst: then only what can be answered on time waits, as a slot
+// spent on a late answer is one that another caller would have had on time.
+const burstLimit = 1500 * time.Millisecond
+
+// A run is expected to end on time only with some room: runs differ, and the
+// answer has a way to go.
+const (
+	runMargin = 1.25
+	wayMargin = 20 * time.Millisecond
+)
+
 // retryFloor is the shortest time after which a refused caller may come back.
 const retryFloor = 50 * time.Millisecond
 
 // latest returns by when a run has to be expected to end for work to wait.
 // Nested work may use all of its time: the work that waits for it fails with it.
-func (w Work) latest() time.Time {
+func (s State) latest(now time.Time, w Work) time.Time {
 	if w.Nested || !w.Goal.Before(w.Deadline) {
 		return w.Deadline
 	}
+	if !s.busySince.IsZero() && now.Sub(s.busySince) > burstLimit {
+		return w.Goal
+	}
 	return w.Goal.Add(time.Duration(lateShare * float64(w.Deadline.Sub(w.Goal))))
 }
 
@@ -54,7 +68,8 @@
 
 // onTime reports whether work that starts now ends by its goal.
 func (s State) onTime(now time.Time, w Work) bool {
-	return !now.Add(s.expected(w.Route)).After(w.Goal)
+	run := time.Duration(runMargin * float64(s.expected(w.Route)))
+	return !now.Add(run + wayMargin).After(w.Goal)
 }
 
 func first(yes bool) int {
@@ -86,13 +101,19 @@
 		case s.running < limit:
 			s.running++
 			decisions = append(decisions, start(w.Attempt))
-		case end.After(w.latest()), s.heldOut(now, w):
+		case end.After(s.latest(now, w)), s.heldOut(now, w):
 			decisions = append(decisions, refuse(w.Attempt, cyclam.ReasonShed, s.backoff(now, ahead)))
 		default:
 			kept = append(kept, w)
 		}
 	}
 	s.queue = kept
+	switch {
+	case len(kept) == 0:
+		s.busySince = time.Time{}
+	case s.busySince.IsZero():
+		s.busySince = now
+	}
 	return s, decisions
 }
 
--- a/place/place.go
+++ b/place/place.go
@@ -40,9 +40,9 @@
 	FirstServiceTime time.Duration
 }
 
-// loadMemory is how long a told load is believed; after it the queue is taken
-// to have run empty, and only the speed is remembered.
-const loadMemory = 500 * time.Millisecond
+// loadMemory is how long a told load counts, less and less as it ages; after it
+// only the speed is remembered.
+const loadMemory = 2 * time.Second
 
 // tieShare is the part of the best expected time within which candidates count
 // as equal, so that nodes with the same view do not all choose the same one.
@@ -65,8 +65,9 @@
 		limit = max(1, int(v.Endpoint.Slots))
 	}
 	busy := v.Sent
-	if now.Sub(v.LoadAt) < loadMemory {
-		busy += v.Load.Running + v.Load.Waiting
+	if age := now.Sub(v.LoadAt); age < loadMemory {
+		left := float64(loadMemory-age) / float64(loadMemory)
+		busy += int(left * float64(v.Load.Running+v.Load.Waiting))
 	}
 	expected := v.RTT + service
 	if over := busy + 1 - limit; over > 0 {
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -140,8 +140,9 @@
 	n.announce()
 }
 
-// entryDelay lets the upstream be identified before the first write.
-const entryDelay = 300 * time.Millisecond
+// entryDelay lets the upstream be identified before the first write, so that a
+// start takes one write.
+const entryDelay = 2 * time.Second
 
 // keepEntry writes the own entry whenever it differs from what the store holds.
 func (n *Node) keepEntry(ctx context.Context) error {
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -448,14 +448,19 @@
 			}
 			n.mu.Lock()
 			known := 0
+			doors := 0
 			for _, other := range nodes {
+				if other == n || other.Settings.Self.Service != "stock" {
+					continue
+				}
+				doors++
 				m, ok := n.fleet.members[other.Settings.Self.Instance]
-				if ok && (m.view.Endpoint.Service != "stock" || m.view.Endpoint.State == cyclam.EndpointReady) {
+				if ok && m.view.Endpoint.State == cyclam.EndpointReady {
 					known++
 				}
 			}
 			n.mu.Unlock()
-			if known != len(nodes)-1 {
+			if known != doors {
 				return false
 			}
 		}
--- a/relay/store.go
+++ b/relay/store.go
@@ -17,10 +17,10 @@
 	// that shows a newer version.
 	watchWait = 20 * time.Second
 	// gatherPause lets changes that come in quick succession arrive in one answer.
-	gatherPause = 300 * time.Millisecond
+	gatherPause = 500 * time.Millisecond
 	// retryBase and retryMax bound the pause after a failed call to the store.
 	retryBase = 150 * time.Millisecond
-	retryMax  = 1200 * time.Millisecond
+	retryMax  = 1800 * time.Millisecond
 	// hintPatience is how long a newer version at another node may take to come
 	// by the own watch.
 	hintPatience = 400 * time.Millisecond
--- a/relay/upstream.go
+++ b/relay/upstream.go
@@ -135,6 +135,9 @@
 	// identifyEvery is the pause between health checks of a node that has just
 	// started and was not told yet which upstream is beside it.
 	identifyEvery = 400 * time.Millisecond
+	// configPoll is the pause while the configuration, which names the path of
+	// the check, is not known.
+	configPoll = 20 * time.Millisecond
 	// identifyTries ends them; the upstream's own news come later in any case.
 	identifyTries = 6
 )
@@ -142,17 +145,17 @@
 // identify asks the upstream who it is, so that a node that was started alone
 // serves before the upstream's next news.
 func (n *Node) identify(ctx context.Context) error {
-	for range identifyTries {
-		if n.upstreamID() != "" {
-			return nil
-		}
+	for tries := 0; tries < identifyTries && n.upstreamID() == ""; {
+		wait := configPoll
 		if n.current.Load() != nil {
 			n.probe(ctx)
+			tries++
+			wait = identifyEvery
 		}
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-time.After(identifyEvery):
+		case <-time.After(wait):
 		}
 	}
 	return nil
