Restarted nodes are recognised by their answers and told by their peers

Change: a reply carries its sender's incarnation; nodes greet on each new connection and hand on configuration and fleet; a starting node holds requests for 0.4 s at most; a stopping one takes work for 1.2 s; hedges need a free slot; the retry budget spends 0.95 of the ratio and 0.7 of the allowance, and counts no nested request as one that pays.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -23,11 +23,11 @@
 
 // ratioShare is the part of the ratio that is spent: requests that were counted
 // here may have left the window at the nodes that judge it.
-const ratioShare = 0.8
+const ratioShare = 0.95
 
 // floorShare is the part of the allowance that is spent, as nodes may be
 // replaced and begin with a window of their own.
-const floorShare = 0.5
+const floorShare = 0.7
 
 type bucket struct {
 	requests int
--- a/place/place.go
+++ b/place/place.go
@@ -96,6 +96,11 @@
 	Bytes int
 }
 
+// HasRoom reports whether the upstream is told to have a free slot.
+func (v View) HasRoom() bool {
+	return v.Load.Waiting == 0 && v.Load.Running+v.Sent < v.Load.Limit
+}
+
 // bytesCost returns the time that the way of a request's bytes is worth.
 func (t Tuning) bytesCost(r Request, to cyclam.Place) time.Duration {
 	switch {
--- a/relay/call.go
+++ b/relay/call.go
@@ -26,10 +26,10 @@
 	goal       time.Time
 	deadline   time.Time
 
-	// refusals counts, by node, the refusals of this call; reached counts the
-	// upstreams that may have begun to work on it.
-	refusals map[cyclam.InstanceName]int
-	reached  map[cyclam.InstanceName]bool
+	// refusals counts, by the node's process, the refusals of this call; reached
+	// holds the upstreams that may have begun to work on it.
+	refusals map[cyclam.Identity]int
+	reached  map[cyclam.Identity]bool
 	sends    int
 	inFlight int
 	// retryAfter is the shortest time that a refusal asked for.
@@ -54,8 +54,6 @@
 const (
 	// maxRefusals is how many nodes may refuse a call before its caller is told.
 	maxRefusals = 6
-	// refusalsOfOne is how often the same node is asked.
-	refusalsOfOne = 2
 	// resultBuffer holds what attempts report while the call is busy.
 	resultBuffer = 16
 )
@@ -86,7 +84,7 @@
 
 // step takes in one result; true means that the call has ended.
 func (c *call) step(ctx context.Context, r result, results chan result) (result, bool) {
-	name := r.target.Endpoint.Instance
+	name := r.target.Endpoint.Identity
 	if r.suspect {
 		if c.idempotent && c.mayRepeat() {
 			c.send(ctx, results)
@@ -133,13 +131,13 @@
 	return c.send(ctx, results)
 }
 
-func (c *call) refused(name cyclam.InstanceName, v cyclam.Verdict) {
+func (c *call) refused(name cyclam.Identity, v cyclam.Verdict) {
 	c.refusals[name]++
 	c.reason = v.Reason
 	if v.RetryAfter > 0 && (c.retryAfter == 0 || v.RetryAfter < c.retryAfter) {
 		c.retryAfter = v.RetryAfter
 	}
-	c.node.refusedBy(name, v.Reason)
+	c.node.refusedBy(name.Instance, v.Reason)
 }
 
 // refusal is the end of a call that gets no answer: an upstream's own failure if
@@ -178,7 +176,7 @@
 				return r
 			}
 			if !r.suspect && !r.ran {
-				delete(c.reached, r.target.Endpoint.Instance)
+				delete(c.reached, r.target.Endpoint.Identity)
 			}
 			continue
 		default:
@@ -198,7 +196,7 @@
 	if !ok {
 		return false
 	}
-	name := target.Endpoint.Instance
+	name := target.Endpoint.Identity
 	if c.inFlight > 0 || c.sends > 0 {
 		n.meters.resends.Inc(1)
 	}
@@ -208,7 +206,7 @@
 	c.sends++
 	c.inFlight++
 	c.reached[name] = true
-	n.sent(name)
+	n.sent(name.Instance)
 	offer := c.sending(target)
 	go func() {
 		a := &attempt{
@@ -236,7 +234,7 @@
 		limit = defaultAttempts
 	}
 	used := len(c.reached)
-	if c.failed != nil && !c.reached[c.failed.target.Endpoint.Instance] {
+	if c.failed != nil && !c.reached[c.failed.target.Endpoint.Identity] {
 		used++
 	}
 	return used >= limit
@@ -305,7 +303,14 @@
 const hedgeShare = 0.75
 
 func (c *call) hedge(ctx context.Context, results chan<- result) {
-	if c.inFlight == 1 && c.mayRepeat() && c.send(ctx, results) {
+	if c.inFlight != 1 || !c.mayRepeat() {
+		return
+	}
+	// A second run in place of work that waits would serve nobody sooner.
+	if target, ok := c.node.choose(c); !ok || !target.HasRoom() {
+		return
+	}
+	if c.send(ctx, results) {
 		c.node.meters.hedges.Inc(1)
 	}
 }
@@ -321,30 +326,20 @@
 	}
 	open := views[:0]
 	for _, v := range views {
-		name := v.Endpoint.Instance
-		tried := c.failed != nil && c.failed.target.Endpoint.Instance == name
-		if !c.reached[name] && !tried && c.refusals[name] < refusalsOfOne {
+		name := v.Endpoint.Identity
+		tried := c.failed != nil && c.failed.target.Endpoint.Identity == name
+		if !c.reached[name] && !tried && c.refusals[name] == 0 {
 			open = append(open, v)
 		}
 	}
-	// A node that refused is asked again only after all others were.
-	fresh := make([]place.View, 0, len(open))
-	for _, v := range open {
-		if c.refusals[v.Endpoint.Instance] == 0 {
-			fresh = append(fresh, v)
-		}
-	}
-	if len(fresh) == 0 {
-		return place.View{}, false
-	}
 	at, ok := n.placing.Choose(now, place.Request{
 		From:  n.Settings.Self.Place,
 		Bytes: n.size(c.route),
-	}, fresh, rand.IntN)
+	}, open, rand.IntN)
 	if !ok {
 		return place.View{}, false
 	}
-	return fresh[at], true
+	return open[at], true
 }
 
 // The sizes in bytes that are assumed of a route's requests with their answers.
@@ -379,7 +374,7 @@
 
 // ownView is the view of the upstream beside this node, which is never stale.
 func (n *Node) ownView(service cyclam.ServiceName, now time.Time) (place.View, bool) {
-	if service != n.Settings.Self.Service || n.stopping.Load() {
+	if service != n.Settings.Self.Service || n.closed(now) {
 		return place.View{}, false
 	}
 	n.doorMu.Lock()
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -77,7 +77,7 @@
 	}
 	n.doorMu.Unlock()
 	switch {
-	case n.stopping.Load(), up.leaving:
+	case n.closed(time.Now()), up.leaving:
 		e.State = cyclam.EndpointLeaving
 	case known:
 		e.State = cyclam.EndpointReady
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -107,6 +107,11 @@
 		Leaving:     l.Leaving,
 		Version:     cyclam.Version(l.Version),
 	}
+	if inc := cyclam.Incarnation(l.Incarnation); inc != 0 && inc != m.view.Endpoint.Incarnation {
+		m.view.Endpoint.Incarnation = inc
+		m.view.Endpoint.State = cyclam.EndpointReady
+		n.Log.Info("node-restarted", "peer", name, "incarnation", inc)
+	}
 	m.view.LoadAt = time.Now()
 	m.view.Sent = 0
 	m.failures = 0
@@ -157,7 +162,7 @@
 // refusedBy avoids a node whose upstream is down or leaves.
 func (n *Node) refusedBy(name cyclam.InstanceName, reason cyclam.Reason) {
 	switch reason {
-	case cyclam.ReasonUpstreamDown, cyclam.ReasonDraining, cyclam.ReasonWrongTarget:
+	case cyclam.ReasonUpstreamDown, cyclam.ReasonDraining:
 		n.unreachable(name)
 	}
 }
--- a/relay/handle.go
+++ b/relay/handle.go
@@ -11,6 +11,7 @@
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/table"
 	"github.com/cyclamensaddle/cyclam/wire"
 	"github.com/pkg/errors"
 )
@@ -27,7 +28,7 @@
 	if meta.ID == "" {
 		meta.ID = newID()
 	}
-	t := n.current.Load()
+	t := n.awaitConfig(r.Context(), meta.Remaining)
 	if t == nil {
 		n.answer(w, r, meta.ID, began, nil, result{
 			verdict: cyclam.Refused(cyclam.ReasonNoConfig, leastRetryAfter),
@@ -66,7 +67,9 @@
 	c.offer.Route = route.Name
 	c.offer.Nested = n.runs(meta.Parent)
 	c.offer.Body = body
-	n.earn(c.service)
+	if !c.offer.Nested {
+		n.earn(c.service)
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	end := c.run(ctx)
@@ -80,6 +83,34 @@
 // way between nodes.
 const fieldBytes = 1000
 
+// A node that has just started holds requests for the moment that reading the
+// configuration takes: configWait bounds it, and configShare of the caller's time.
+const (
+	configWait  = 400 * time.Millisecond
+	configShare = 0.25
+	configPause = 5 * time.Millisecond
+)
+
+// awaitConfig returns the table in force, nil if there is none in time.
+func (n *Node) awaitConfig(ctx context.Context, remaining time.Duration) *table.Table {
+	wait := configWait
+	if remaining > 0 {
+		wait = min(wait, time.Duration(configShare*float64(remaining)))
+	}
+	until := time.Now().Add(wait)
+	for {
+		t := n.current.Load()
+		if t != nil || time.Now().After(until) || time.Since(n.began) > time.Second {
+			return t
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(configPause):
+		}
+	}
+}
+
 func (n *Node) newCall(r *http.Request, meta cyclam.CallMeta, route cyclam.Route, began time.Time) *call {
 	timeout := defaultTimeout
 	if meta.Remaining > 0 {
@@ -100,8 +131,8 @@
 		arrived:    began,
 		goal:       began.Add(goal),
 		deadline:   began.Add(timeout),
-		refusals:   map[cyclam.InstanceName]int{},
-		reached:    map[cyclam.InstanceName]bool{},
+		refusals:   map[cyclam.Identity]int{},
+		reached:    map[cyclam.Identity]bool{},
 		offer: &wire.Offer{
 			Id:            meta.ID,
 			Method:        r.Method,
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -385,8 +385,36 @@
 	return l.Addr().String()
 }
 
-// start runs a node beside an upstream; a nil upstream has none.
+// start runs a node beside an upstream until the test ends; a nil upstream has
+// none.
 func (s *site) start(name string, u *upstream, w *wires) *Node {
+	n, _ := s.launch(name, u, w)
+	return n
+}
+
+// launch runs a node and returns what ends it like a kill.
+func (s *site) launch(name string, u *upstream, w *wires) (*Node, func()) {
+	n := s.node(name, u, w)
+	return n, s.run(n)
+}
+
+func (s *site) run(n *Node) func() {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = n.Run(ctx)
+	}()
+	stop := func() {
+		cancel()
+		<-done
+	}
+	s.t.Cleanup(stop)
+	return stop
+}
+
+// node returns a node that does not run yet.
+func (s *site) node(name string, u *upstream, w *wires) *Node {
 	s.t.Helper()
 	address := "127.0.0.1:1"
 	service := cyclam.ServiceName("other")
@@ -425,13 +453,6 @@
 	if w != nil {
 		n.Dial = w.dial
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- n.Run(ctx) }()
-	s.t.Cleanup(func() {
-		cancel()
-		<-done
-	})
 	return n
 }
 
--- a/relay/link.go
+++ b/relay/link.go
@@ -25,11 +25,17 @@
 	inFlight int
 	heard    time.Time
 	watching bool
+	// greeted is the connection on which knowledge was exchanged; failing is set
+	// while no connection comes about.
+	greeted *grpc.ClientConn
+	failing bool
 }
 
 const (
 	// connectLimit is how long an attempt waits for a connection.
 	connectLimit = 350 * time.Millisecond
+	// failingLimit is the same where the last one did not come about.
+	failingLimit = 60 * time.Millisecond
 	// silenceLimit is how long a link with attempts in flight may be silent
 	// before it is probed.
 	silenceLimit = 350 * time.Millisecond
@@ -96,7 +102,13 @@
 
 // connect returns a connection that is up. An error means that nothing was sent.
 func (l *link) connect(ctx context.Context) (*grpc.ClientConn, error) {
-	ctx, cancel := context.WithTimeout(ctx, connectLimit)
+	l.mu.Lock()
+	limit := connectLimit
+	if l.failing {
+		limit = failingLimit
+	}
+	l.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	for {
 		conn, err := l.get()
@@ -106,18 +118,60 @@
 		state := conn.GetState()
 		switch state {
 		case connectivity.Ready:
+			l.connected(conn)
 			return conn, nil
 		case connectivity.Idle:
 			conn.Connect()
 		case connectivity.TransientFailure:
-			return nil, cyclam.AtStep("connect", l.address, errNotConnected)
+			return nil, l.notConnected()
 		}
 		if !conn.WaitForStateChange(ctx, state) {
-			return nil, cyclam.AtStep("connect", l.address, errNotConnected)
+			return nil, l.notConnected()
 		}
 	}
 }
 
+func (l *link) notConnected() error {
+	l.mu.Lock()
+	l.failing = true
+	l.mu.Unlock()
+	return cyclam.AtStep("connect", l.address, errNotConnected)
+}
+
+// connected greets the other node once on each connection.
+func (l *link) connected(conn *grpc.ClientConn) {
+	l.mu.Lock()
+	fresh := l.greeted != conn
+	l.greeted, l.failing = conn, false
+	l.mu.Unlock()
+	if fresh {
+		go l.greet(conn)
+	}
+}
+
+// greetLimit bounds the exchange on a new connection.
+const greetLimit = 2 * time.Second
+
+// greet compares what both nodes know. One that has just started may have no
+// other way to learn while the platform's store is away.
+func (l *link) greet(conn *grpc.ClientConn) {
+	n := l.node
+	ctx, cancel := context.WithTimeout(context.Background(), greetLimit)
+	defer cancel()
+	client := wire.NewDoorClient(conn)
+	mine := n.knowledge(n.version(), false)
+	reply, err := client.Exchange(ctx, mine)
+	if err == nil {
+		n.learn(reply)
+		if reply.Full || cyclam.Version(reply.Version) < n.version() {
+			_, err = client.Exchange(ctx, n.knowledge(cyclam.Version(reply.Version), reply.Full))
+		}
+	}
+	if err != nil {
+		n.Log.Info("greeting-failed", "peer", l.address, "error", err)
+	}
+}
+
 func (l *link) get() (*grpc.ClientConn, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/relay/node.go
+++ b/relay/node.go
@@ -32,6 +32,7 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 
 	self   cyclam.Identity
+	began  time.Time
 	meters meters
 	origin *origin.Pool
 	next   atomic.Uint64
@@ -39,9 +40,11 @@
 	hint chan cyclam.Version
 	// up is set once Run has prepared everything that other methods use.
 	up atomic.Bool
-	// exitAt is when a stopping process has to be done.
-	exitAt atomic.Pointer[time.Time]
-	server *http.Server
+	// exitAt is when a stopping process has to be done, closeAt when it takes
+	// nothing more from other nodes.
+	exitAt  atomic.Pointer[time.Time]
+	closeAt atomic.Pointer[time.Time]
+	server  *http.Server
 
 	current  atomic.Pointer[table.Table]
 	raw      atomic.Pointer[rawConfig]
@@ -92,6 +95,7 @@
 const firstServiceTime = 200 * time.Millisecond
 
 func (n *Node) prepare() {
+	n.began = time.Now()
 	n.Settings.Self.Incarnation = cyclam.Incarnation(rand.Uint64() >> 1)
 	n.Settings.Self.Sequence = 1
 	n.Settings.Self.State = cyclam.EndpointDown
@@ -194,6 +198,9 @@
 const (
 	// readyMisses is how long the platform takes to stop sending new callers.
 	readyMisses = 2500 * time.Millisecond
+	// workTime is how long a stopping node still takes work: callers stay for
+	// longer, and its upstream goes on.
+	workTime = 1200 * time.Millisecond
 	// exitMargin is kept free before the process would be killed.
 	exitMargin = 700 * time.Millisecond
 	// exitPoll is the interval at which a stopping node looks whether it is idle.
@@ -209,9 +216,11 @@
 	}
 	began := time.Now()
 	exitAt := began.Add(n.Settings.Grace - exitMargin)
+	closeAt := began.Add(workTime)
 	n.exitAt.Store(&exitAt)
+	n.closeAt.Store(&closeAt)
+	time.AfterFunc(workTime, n.announce)
 	n.Log.Info("stop-begun", "grace", n.Settings.Grace)
-	n.announce()
 	for time.Since(began) < readyMisses || !n.idle() && time.Now().Before(exitAt) {
 		select {
 		case <-ctx.Done():
@@ -225,6 +234,12 @@
 	n.Log.Info("node-stopped", "after", time.Since(began), "callers-in-flight", n.clients.Load(), "error", err)
 }
 
+// closed reports whether a stopping node takes nothing more from other nodes.
+func (n *Node) closed(now time.Time) bool {
+	closeAt := n.closeAt.Load()
+	return closeAt != nil && !now.Before(*closeAt)
+}
+
 // tooLate reports whether a request that may take some time can't end before
 // the process does. Until the platform has noticed the stop all are taken.
 func (n *Node) tooLate(now time.Time, timeout time.Duration) bool {
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -48,7 +48,11 @@
 	n.noteVersion(cyclam.Version(offer.Version))
 	j, settled := n.admit(offer)
 	if settled != nil {
-		return stream.Send(n.loaded(settled))
+		reply := n.loaded(settled)
+		if offer.Instance != string(n.self.Instance) {
+			reply.Load.Incarnation = 0
+		}
+		return stream.Send(reply)
 	}
 	j.attach()
 	defer n.release(j)
@@ -97,5 +101,7 @@
 // Exchange answers with what the other node lacks.
 func (p *peerServer) Exchange(_ context.Context, k *wire.Knowledge) (*wire.Knowledge, error) {
 	p.node.learn(k)
-	return p.node.knowledge(cyclam.Version(k.Version), k.Full), nil
+	reply := p.node.knowledge(cyclam.Version(k.Version), k.Full)
+	reply.Full = !p.node.Ready() && !p.node.stopping.Load()
+	return reply, nil
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -434,3 +434,63 @@
 		t.Errorf("runs: got %d, want 0", got)
 	}
 }
+
+// A node that starts while the store is away learns everything from the others:
+// they know it by its address, and its answers tell that it is a new process.
+func TestRestartWhileStoreIsAway(t *testing.T) {
+	s := newSite(t)
+	u := newUpstream(t, "u1")
+	front := s.start("front", nil, nil)
+	first, stop := s.launch("door", u, nil)
+	s.settle(first, front)
+	s.want(front, http.MethodPost, "/book/x", http.StatusOK)
+	s.platform.down.Store(true)
+	address, callers := first.Settings.Self.Control, first.Settings.Callers
+	stop()
+	again := s.node("door", u, nil)
+	again.Settings.Self.Control, again.Settings.Callers = address, callers
+	s.run(again)
+	s.until("requests reach the new process", func() bool {
+		status, _, _, err := s.ask(t.Context(), front, http.MethodPost, "/book/x", time.Second)
+		return err == nil && status == http.StatusOK
+	})
+	s.until("the new process knows the fleet and the configuration", again.Ready)
+	s.want(again, http.MethodGet, "/read/x", http.StatusOK)
+}
+
+// Requests that come before a starting node has read its configuration wait for
+// it, but not for long.
+func TestStartHoldsRequests(t *testing.T) {
+	s := &site{
+		t:        t,
+		platform: newMemory(),
+	}
+	u := newUpstream(t, "u1")
+	n := s.start("door", u, nil)
+	s.until("it listens", n.up.Load)
+	go func() {
+		<-time.After(50 * time.Millisecond)
+		s.platform.apply(t, testConfig(1))
+	}()
+	status, _, _, err := s.ask(t.Context(), n, http.MethodGet, "/nowhere/", 2*time.Second)
+	if err != nil || status != http.StatusNotFound {
+		t.Errorf("got %d, %v, want an answer by the configuration that came", status, err)
+	}
+}
+
+// A stopping node takes work for a moment, then refuses it as not run.
+func TestStopTakesWorkForAMoment(t *testing.T) {
+	s := newSite(t)
+	u := newUpstream(t, "u1")
+	door, front := s.start("door", u, nil), s.start("front", nil, nil)
+	s.settle(door, front)
+	go door.Stop(t.Context())
+	s.until("it stops", door.stopping.Load)
+	s.want(front, http.MethodPost, "/book/x", http.StatusOK)
+	<-time.After(workTime)
+	before := u.runs.Load()
+	s.want(front, http.MethodPost, "/book/x", http.StatusServiceUnavailable)
+	if got := u.runs.Load() - before; got != 0 {
+		t.Errorf("runs of what was refused: got %d, want 0", got)
+	}
+}
--- a/relay/work.go
+++ b/relay/work.go
@@ -69,7 +69,7 @@
 	case offer.Resume:
 		n.fenced.never.add(attempt)
 		return nil, declined(cyclam.ReasonCancelled, 0)
-	case n.stopping.Load():
+	case n.closed(time.Now()):
 		return nil, declined(cyclam.ReasonDraining, 0)
 	case cyclam.ServiceName(offer.Service) != n.Settings.Self.Service:
 		return nil, declined(cyclam.ReasonWrongTarget, 0)
@@ -320,7 +320,8 @@
 		Limit:         uint32(l.Limit),
 		ServiceTimeUs: uint32(l.ServiceTime.Microseconds()),
 		Failing:       uint32(l.Failing * 1000),
-		Leaving:       l.Leaving || n.stopping.Load(),
+		Leaving:       l.Leaving || n.closed(time.Now()),
 		Version:       uint64(n.version()),
+		Incarnation:   uint64(n.self.Incarnation),
 	}
 }
