--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -67,6 +67,10 @@
 		m.view.Load.Leaving = false
 		m.view.AvoidUntil = time.Time{}
 	}
+	if e.State == cyclam.EndpointDown {
+		// It is asked again later: the news that it is up may not come.
+		m.view.AvoidUntil = time.Now().Add(avoidBase)
+	}
 	m.view.Endpoint = e
 	return m
 }
@@ -79,7 +83,7 @@
 	var views []place.View
 	for _, m := range f.members {
 		e := m.view.Endpoint
-		if e.Service == service && (e.State == cyclam.EndpointReady || e.State == cyclam.EndpointLeaving) {
+		if e.Service == service && e.State != cyclam.EndpointGone {
 			views = append(views, m.view)
 		}
 	}
@@ -111,6 +115,7 @@
 		m.view.Endpoint.Incarnation = inc
 		m.view.Endpoint.State = cyclam.EndpointReady
 		n.Log.Info("node-restarted", "peer", name, "incarnation", inc)
+		go n.link(m.view.Endpoint.Control).greetAgain()
 	}
 	m.view.LoadAt = time.Now()
 	m.view.Sent = 0
--- a/relay/link.go
+++ b/relay/link.go
@@ -149,6 +149,16 @@
 	}
 }
 
+// greetAgain greets another process that answers over the same connection.
+func (l *link) greetAgain() {
+	conn, err := l.get()
+	if err != nil {
+		l.node.Log.Warn("greeting-failed", "peer", l.address, "error", err)
+		return
+	}
+	l.greet(conn)
+}
+
 // greetLimit bounds the exchange on a new connection.
 const greetLimit = 2 * time.Second
 
