--- a/oper/app.go
+++ b/oper/app.go
@@ -94,6 +94,7 @@
 			a.statusCommand(),
 			a.watchCommand(),
 			a.checkCommand(),
+			a.explainCommand(),
 			a.versionCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
--- /dev/null
+++ b/oper/explain.go
@@ -0,0 +1,61 @@
+package oper
+
+import (
+	"context"
+	"os"
+
+	"github.com/cyclamensaddle/cyclam/story"
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+)
+
+func (a *App) explainCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "tell from collected logs what became of a request",
+		ArgsUsage: "FILE...",
+		Description: "Examples:\n" +
+			"  cyclamensaddle explain --id 9c41d07be2a35f68 logs/*.log\n" +
+			"  cyclamensaddle explain --summary logs/*.log",
+		Flags: []cli.Flag{
+			&cli.StringFlag{
+				Name:  "id",
+				Usage: "id of the request",
+			},
+			&cli.BoolFlag{
+				Name:  "summary",
+				Usage: "count the failed requests by cause",
+			},
+		},
+		Action: a.explain,
+	}
+}
+
+func (a *App) explain(_ context.Context, c *cli.Command) error {
+	id, summary := c.String("id"), c.Bool("summary")
+	if id == "" && !summary || c.Args().Len() == 0 {
+		return coded(ExitUsage, errors.New("want --id ID or --summary, and files with logs"))
+	}
+	var lines []story.Line
+	for _, path := range c.Args().Slice() {
+		more, err := readLogs(path)
+		if err != nil {
+			return err
+		}
+		lines = append(lines, more...)
+	}
+	if summary {
+		return story.Summary(a.Out, lines)
+	}
+	return story.Tell(a.Out, lines, id)
+}
+
+func readLogs(path string) ([]story.Line, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "open logs")
+	}
+	defer file.Close()
+	lines, _, err := story.Read(file)
+	return lines, errors.Wrap(err, path)
+}
--- a/relay/node.go
+++ b/relay/node.go
@@ -44,7 +44,9 @@
 	// nothing more from other nodes.
 	exitAt  atomic.Pointer[time.Time]
 	closeAt atomic.Pointer[time.Time]
-	server  *http.Server
+	// grace is the time from a stop to the end, in nanoseconds.
+	grace  atomic.Int64
+	server *http.Server
 
 	current  atomic.Pointer[table.Table]
 	raw      atomic.Pointer[rawConfig]
@@ -96,6 +98,7 @@
 
 func (n *Node) prepare() {
 	n.began = time.Now()
+	n.grace.Store(int64(n.Settings.Grace))
 	n.Settings.Self.Incarnation = cyclam.Incarnation(rand.Uint64() >> 1)
 	n.Settings.Self.Sequence = 1
 	n.Settings.Self.State = cyclam.EndpointDown
@@ -215,12 +218,13 @@
 		return
 	}
 	began := time.Now()
-	exitAt := began.Add(n.Settings.Grace - exitMargin)
+	grace := time.Duration(n.grace.Load())
+	exitAt := began.Add(grace - exitMargin)
 	closeAt := began.Add(workTime)
 	n.exitAt.Store(&exitAt)
 	n.closeAt.Store(&closeAt)
 	time.AfterFunc(workTime, n.announce)
-	n.Log.Info("stop-begun", "grace", n.Settings.Grace)
+	n.Log.Info("stop-begun", "grace", grace)
 	for time.Since(began) < readyMisses || !n.idle() && time.Now().Before(exitAt) {
 		select {
 		case <-ctx.Done():
@@ -244,7 +248,8 @@
 // the process does. Until the platform has noticed the stop all are taken.
 func (n *Node) tooLate(now time.Time, timeout time.Duration) bool {
 	exitAt := n.exitAt.Load()
-	if exitAt == nil || now.Before(exitAt.Add(exitMargin-n.Settings.Grace+readyMisses)) {
+	closeAt := n.closeAt.Load()
+	if exitAt == nil || closeAt == nil || now.Before(closeAt.Add(readyMisses-workTime)) {
 		return false
 	}
 	return now.Add(timeout).After(*exitAt)
--- a/relay/settings.go
+++ b/relay/settings.go
@@ -30,3 +30,25 @@
 	// Memory is how many bytes the process may use; zero means no limit.
 	Memory int64
 }
+
+// Adjust takes over changed limits while the node runs. Addresses and the
+// identity hold for the life of the process; a change of them is logged.
+func (n *Node) Adjust(s Settings) {
+	if !n.up.Load() {
+		return
+	}
+	n.mu.Lock()
+	n.Settings.Budget = s.Budget
+	for service, state := range n.budgets {
+		state.Tuning = s.Budget
+		n.budgets[service] = state
+	}
+	n.mu.Unlock()
+	n.doorMu.Lock()
+	n.door.Tuning.Drain = s.Drain
+	n.doorMu.Unlock()
+	n.grace.Store(int64(s.Grace))
+	fixed := s.Callers == n.Settings.Callers && s.Upstream == n.Settings.Upstream &&
+		s.Self.Control == n.Settings.Self.Control && s.Self.Service == n.Settings.Self.Service
+	n.Log.Info("settings-read", "drain", s.Drain, "grace", s.Grace, "retry-ratio", s.Budget.Ratio, "needs-restart", !fixed)
+}
