--- a/budget/budget.go
+++ b/budget/budget.go
@@ -66,6 +66,22 @@
 // Allows reports whether one more repeat is within this node's share of the
 // bound where nodes nodes divide the allowance.
 func (s State) Allows(now time.Time, nodes int) bool {
+	repeats, limit := s.spent(now, nodes)
+	return float64(repeats+1) <= limit
+}
+
+// hedgeBudget is the part of the bound that requests may spend which have not
+// failed.
+const hedgeBudget = 0.5
+
+// AllowsHedge reports whether one more repeat leaves enough for failures.
+func (s State) AllowsHedge(now time.Time, nodes int) bool {
+	repeats, limit := s.spent(now, nodes)
+	return float64(repeats+1) <= hedgeBudget*limit
+}
+
+// spent returns the repeats in the window and this node's share of the bound.
+func (s State) spent(now time.Time, nodes int) (int, float64) {
 	s = s.turned(now)
 	var sum bucket
 	for _, b := range s.counts {
@@ -73,7 +89,7 @@
 		sum.repeats += b.repeats
 	}
 	limit := s.Tuning.Ratio*ratioShare*float64(sum.requests) + s.Tuning.Floor*floorShare/float64(max(1, nodes))
-	return float64(sum.repeats+1) <= limit
+	return sum.repeats, limit
 }
 
 // turned empties the buckets that have left the window.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -31,7 +31,7 @@
 
 // replies is a source of an attempt's replies; io.EOF ends it.
 type replies interface {
-	Recv() (*wire.Reply, error)
+	Recv() (*wire.Replies, error)
 }
 
 // resumePause is the pause between two tries to learn what became of an attempt.
@@ -190,9 +190,9 @@
 			finish()
 		}
 	}
-	var answer cyclam.Answer
+	reading := &reading{}
 	for {
-		reply, err := source.Recv()
+		batch, err := source.Recv()
 		if err != nil {
 			done()
 			if err == io.EOF {
@@ -200,33 +200,47 @@
 			}
 			return cyclam.Verdict{}, nil, err
 		}
-		a.node.told(a.target.Endpoint.Instance, reply.Load)
-		switch k := reply.Kind.(type) {
-		case *wire.Reply_Accepted:
-			a.accepted = true
-		case *wire.Reply_Started:
-			a.started = true
-		case *wire.Reply_Declined:
-			done()
-			return cyclam.Refused(cyclam.Reason(k.Declined.Reason), time.Duration(k.Declined.RetryAfterUs)*time.Microsecond), nil, nil
-		case *wire.Reply_Head:
-			answer = readHead(k.Head)
-		case *wire.Reply_Chunk:
-			answer.Body = append(answer.Body, k.Chunk...)
-			if len(answer.Body) > holdLimit {
-				return doneWith(answer), &tail{
-					source: source,
-					finish: done,
-				}, nil
-			}
-		case *wire.Reply_End:
-			done()
-			if k.End.Reason != "" || answer.Status == 0 {
-				return unknown(cyclam.Reason(k.End.Reason)), nil, nil
+		a.node.told(a.target.Endpoint.Instance, batch.Load)
+		for _, reply := range batch.Replies {
+			if verdict, ended := a.take(reading, reply); ended {
+				done()
+				return verdict, nil, nil
 			}
-			return doneWith(answer), nil, nil
 		}
+		if len(reading.answer.Body) > holdLimit {
+			return doneWith(reading.answer), &tail{
+				source: source,
+				finish: done,
+			}, nil
+		}
+	}
+}
+
+// reading is the part of an answer that was read.
+type reading struct {
+	answer cyclam.Answer
+}
+
+// take takes in one reply; true means that the attempt has ended with a verdict.
+func (a *attempt) take(r *reading, reply *wire.Reply) (cyclam.Verdict, bool) {
+	switch k := reply.Kind.(type) {
+	case *wire.Reply_Accepted:
+		a.accepted = true
+	case *wire.Reply_Started:
+		a.started = true
+	case *wire.Reply_Declined:
+		return cyclam.Refused(cyclam.Reason(k.Declined.Reason), time.Duration(k.Declined.RetryAfterUs)*time.Microsecond), true
+	case *wire.Reply_Head:
+		r.answer = readHead(k.Head)
+	case *wire.Reply_Chunk:
+		r.answer.Body = append(r.answer.Body, k.Chunk...)
+	case *wire.Reply_End:
+		if k.End.Reason != "" || r.answer.Status == 0 {
+			return unknown(cyclam.Reason(k.End.Reason)), true
+		}
+		return doneWith(r.answer), true
 	}
+	return cyclam.Verdict{}, false
 }
 
 func readHead(h *wire.Head) cyclam.Answer {
@@ -287,13 +301,13 @@
 
 // linkReader reads replies from another node.
 type linkReader struct {
-	stream  grpc.ServerStreamingClient[wire.Reply]
+	stream  grpc.ServerStreamingClient[wire.Replies]
 	link    *link
 	onFirst func()
 }
 
-// Recv returns the next reply.
-func (r *linkReader) Recv() (*wire.Reply, error) {
+// Recv returns the next replies.
+func (r *linkReader) Recv() (*wire.Replies, error) {
 	reply, err := r.stream.Recv()
 	if err == nil {
 		r.link.hear()
@@ -312,14 +326,16 @@
 	at  int
 }
 
-// Recv returns the next reply.
-func (r *jobReader) Recv() (*wire.Reply, error) {
-	reply, err := r.job.next(r.ctx, r.at)
-	r.at++
-	if err == nil && reply == nil {
+// Recv returns the next replies.
+func (r *jobReader) Recv() (*wire.Replies, error) {
+	ready, err := r.job.next(r.ctx, r.at)
+	r.at += len(ready)
+	if err == nil && len(ready) == 0 {
 		return nil, io.EOF
 	}
-	return reply, err
+	return &wire.Replies{
+		Replies: ready,
+	}, err
 }
 
 // once is a source of one reply.
@@ -328,7 +344,11 @@
 }
 
 // Recv returns the reply.
-func (o *once) Recv() (*wire.Reply, error) { return o.reply, nil }
+func (o *once) Recv() (*wire.Replies, error) {
+	return &wire.Replies{
+		Replies: []*wire.Reply{o.reply},
+	}, nil
+}
 
 // tail is the rest of an answer that is passed on as it comes.
 type tail struct {
@@ -340,20 +360,22 @@
 func (t *tail) copyTo(w io.Writer) error {
 	defer t.finish()
 	for {
-		reply, err := t.source.Recv()
+		batch, err := t.source.Recv()
 		if err != nil {
 			return err
 		}
-		switch k := reply.Kind.(type) {
-		case *wire.Reply_Chunk:
-			if _, err := w.Write(k.Chunk); err != nil {
-				return err
-			}
-		case *wire.Reply_End:
-			if k.End.Reason != "" {
-				return errors.New(k.End.Reason)
+		for _, reply := range batch.Replies {
+			switch k := reply.Kind.(type) {
+			case *wire.Reply_Chunk:
+				if _, err := w.Write(k.Chunk); err != nil {
+					return err
+				}
+			case *wire.Reply_End:
+				if k.End.Reason != "" {
+					return errors.New(k.End.Reason)
+				}
+				return nil
 			}
-			return nil
 		}
 	}
 }
--- /dev/null
+++ b/relay/bench_test.go
@@ -0,0 +1,39 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+)
+
+// BenchmarkPath is one request through two nodes to an upstream and back.
+func BenchmarkPath(b *testing.B) {
+	s := newSite(b)
+	u := newUpstream(b, "u1")
+	door, front := s.start("door", u, nil), s.start("front", nil, nil)
+	s.settle(door, front)
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: 4,
+	}
+	defer transport.CloseIdleConnections()
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		req, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+front.Settings.Callers+"/read/x", nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		req.Host = "mesh.example"
+		req.Header.Set("X-Id", "bench-"+strconv.Itoa(i))
+		req.Header.Set("X-Wait", time.Second.String())
+		resp, err := transport.RoundTrip(req)
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+	}
+}
--- a/relay/call.go
+++ b/relay/call.go
@@ -32,6 +32,8 @@
 	reached  map[cyclam.Identity]bool
 	sends    int
 	inFlight int
+	// first is the view on which the first node was chosen.
+	first place.View
 	// retryAfter is the shortest time that a refusal asked for.
 	retryAfter time.Duration
 	reason     cyclam.Reason
@@ -66,7 +68,7 @@
 	if !c.send(ctx, results) {
 		return c.refusal()
 	}
-	hedge := time.NewTimer(c.hedgeAfter())
+	hedge := time.NewTimer(c.hedgeAfter(c.first))
 	defer hedge.Stop()
 	for {
 		select {
@@ -203,6 +205,9 @@
 	if len(c.reached) > 0 || c.failed != nil {
 		n.spend(c.service)
 	}
+	if c.sends == 0 {
+		c.first = target
+	}
 	c.sends++
 	c.inFlight++
 	c.reached[name] = true
@@ -254,17 +259,23 @@
 	nodes := n.nodes()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	state, ok := n.budgets[c.service]
-	if !ok {
-		state = budget.New(n.Settings.Budget)
-	}
-	allowed := state.Allows(now, nodes)
+	allowed := n.budgetOf(c.service).Allows(now, nodes)
 	if !allowed {
 		n.meters.budgetSpent.Inc(1)
 	}
 	return allowed
 }
 
+// mayHedge reports the same where nothing has failed: half of the budget is kept
+// for what has.
+func (c *call) mayHedge() bool {
+	n := c.node
+	nodes := n.nodes()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.budgetOf(c.service).AllowsHedge(time.Now(), nodes)
+}
+
 // leastTry is the least time for which another attempt is worth making.
 const leastTry = 60 * time.Millisecond
 
@@ -289,21 +300,33 @@
 	return budget.New(n.Settings.Budget)
 }
 
-// hedgeAfter is how long an answer may take before a second upstream is asked.
-func (c *call) hedgeAfter() time.Duration {
+// hedgeAfter is how long an answer may take before a second upstream is asked:
+// so long that the first is late for its kind, and not so long that a second run
+// could not end by the goal.
+func (c *call) hedgeAfter(first place.View) time.Duration {
 	if !c.idempotent || c.route.Kind == cyclam.RouteDownload {
 		return time.Hour
 	}
 	goal := c.goal.Sub(c.arrived)
-	return time.Duration(hedgeShare * float64(goal))
+	run := first.Load.ServiceTime
+	if run <= 0 {
+		return time.Duration(hedgeShare * float64(goal))
+	}
+	late := time.Duration(lateFactor * float64(run))
+	return min(max(late, goal-late), time.Duration(hedgeShare*float64(goal)))
 }
 
-// hedgeShare is the part of the goal after which a slow answer is not waited
-// for alone any more.
-const hedgeShare = 0.75
+const (
+	// hedgeShare is the part of the goal after which a slow answer is not waited
+	// for alone any more in any case.
+	hedgeShare = 0.75
+	// lateFactor is how much longer than the mean a run takes that is late; most
+	// runs are within it.
+	lateFactor = 1.5
+)
 
 func (c *call) hedge(ctx context.Context, results chan<- result) {
-	if c.inFlight != 1 || !c.mayRepeat() {
+	if c.inFlight != 1 || !c.mayHedge() {
 		return
 	}
 	// A second run in place of work that waits would serve nobody sooner.
@@ -333,8 +356,9 @@
 		}
 	}
 	at, ok := n.placing.Choose(now, place.Request{
-		From:  n.Settings.Self.Place,
-		Bytes: n.size(c.route),
+		From:   n.Settings.Self.Place,
+		Bytes:  n.size(c.route),
+		Nested: c.offer.Nested,
 	}, open, rand.IntN)
 	if !ok {
 		return place.View{}, false
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -188,7 +188,7 @@
 }
 
 // apply writes a configuration.
-func (m *memory) apply(t *testing.T, c cyclam.Config) {
+func (m *memory) apply(t testing.TB, c cyclam.Config) {
 	t.Helper()
 	spec, err := json.Marshal(c)
 	if err != nil {
@@ -220,7 +220,7 @@
 	gone  atomic.Int64
 }
 
-func newUpstream(t *testing.T, id string) *upstream {
+func newUpstream(t testing.TB, id string) *upstream {
 	u := &upstream{
 		id: id,
 	}
@@ -327,7 +327,7 @@
 
 // site is a few nodes with one platform.
 type site struct {
-	t        *testing.T
+	t        testing.TB
 	platform *memory
 }
 
@@ -366,7 +366,7 @@
 	}
 }
 
-func newSite(t *testing.T) *site {
+func newSite(t testing.TB) *site {
 	s := &site{
 		t:        t,
 		platform: newMemory(),
@@ -375,7 +375,7 @@
 	return s
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/relay/job.go
+++ b/relay/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -98,9 +99,12 @@
 	}
 }
 
-// next returns reply number at, waiting for it; a nil reply means that the job
-// has ended before.
-func (j *job) next(ctx context.Context, at int) (*wire.Reply, error) {
+// batchLimit bounds the replies that are sent as one message.
+const batchLimit = 16
+
+// next returns the replies from number at on that are ready, waiting for one;
+// none means that the job has ended before.
+func (j *job) next(ctx context.Context, at int) ([]*wire.Reply, error) {
 	for {
 		j.mu.Lock()
 		index := at - j.dropped
@@ -109,15 +113,15 @@
 			return nil, errNotHeld
 		}
 		if index < len(j.log) {
-			reply := j.log[index]
-			if at >= j.read {
-				j.read = at + 1
+			ready := slices.Clone(j.log[index:min(len(j.log), index+batchLimit)])
+			if end := at + len(ready); end > j.read {
+				j.read = end
 				if j.held > holdLimit {
 					j.signal()
 				}
 			}
 			j.mu.Unlock()
-			return reply, nil
+			return ready, nil
 		}
 		if j.ended {
 			j.mu.Unlock()
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -43,41 +43,43 @@
 
 // Serve runs an attempt, or joins one that is under way, and streams its
 // replies from the first one on.
-func (p *peerServer) Serve(offer *wire.Offer, stream grpc.ServerStreamingServer[wire.Reply]) error {
+func (p *peerServer) Serve(offer *wire.Offer, stream grpc.ServerStreamingServer[wire.Replies]) error {
 	n := p.node
 	n.noteVersion(cyclam.Version(offer.Version))
 	j, settled := n.admit(offer)
 	if settled != nil {
-		reply := n.loaded(settled)
+		load := n.load()
 		if offer.Instance != string(n.self.Instance) {
-			reply.Load.Incarnation = 0
+			load.Incarnation = 0
 		}
-		return stream.Send(reply)
+		return stream.Send(&wire.Replies{
+			Load:    load,
+			Replies: []*wire.Reply{settled},
+		})
 	}
 	j.attach()
 	defer n.release(j)
-	for at := 0; ; at++ {
-		reply, err := j.next(stream.Context(), at)
-		if err != nil || reply == nil {
+	for at := 0; ; {
+		ready, err := j.next(stream.Context(), at)
+		if err != nil || len(ready) == 0 {
 			return err
 		}
-		if err := stream.Send(n.loaded(reply)); err != nil {
+		at += len(ready)
+		if err := stream.Send(n.batch(ready)); err != nil {
 			return err
 		}
 	}
 }
 
-// loaded adds the load to the replies from which it is read.
-func (n *Node) loaded(reply *wire.Reply) *wire.Reply {
-	switch reply.Kind.(type) {
-	case *wire.Reply_Chunk, *wire.Reply_Started:
-		return reply
-	default:
-		return &wire.Reply{
-			Load: n.load(),
-			Kind: reply.Kind,
-		}
+// batch adds the load to replies, unless they only carry on a body.
+func (n *Node) batch(replies []*wire.Reply) *wire.Replies {
+	b := &wire.Replies{
+		Replies: replies,
+	}
+	if _, body := replies[0].Kind.(*wire.Reply_Chunk); !body || len(replies) > 1 {
+		b.Load = n.load()
 	}
+	return b
 }
 
 // Revoke gives an attempt up.
--- a/relay/work.go
+++ b/relay/work.go
@@ -29,6 +29,7 @@
 			continue
 		}
 		if d.Start {
+			j.append(&wire.Reply{Kind: &wire.Reply_Started{Started: &wire.Started{}}}, false)
 			go n.run(j)
 			continue
 		}
@@ -109,7 +110,6 @@
 	n.running[j.offer.Id]++
 	n.doorMu.Unlock()
 	defer n.leave(j.offer.Id)
-	j.append(&wire.Reply{Kind: &wire.Reply_Started{Started: &wire.Started{}}}, false)
 	header := http.Header{}
 	for _, f := range j.offer.Headers {
 		header.Add(f.Name, f.Value)
