--- a/budget/budget.go
+++ b/budget/budget.go
@@ -72,7 +72,7 @@
 
 // hedgeBudget is the part of the bound that requests may spend which have not
 // failed.
-const hedgeBudget = 0.5
+const hedgeBudget = 0.9
 
 // AllowsHedge reports whether one more repeat leaves enough for failures.
 func (s State) AllowsHedge(now time.Time, nodes int) bool {
--- a/place/place.go
+++ b/place/place.go
@@ -69,8 +69,8 @@
 		left := float64(loadMemory-age) / float64(loadMemory)
 		load := v.Load.Running + v.Load.Waiting
 		if r.Nested {
-			// It passes all that waits and gets the next slot.
-			load = min(load, limit)
+			// It passes all that waits but its like.
+			load = v.Load.Running + v.Load.WaitingNested
 		}
 		busy += int(left * float64(load))
 	}
--- a/relay/call.go
+++ b/relay/call.go
@@ -32,8 +32,6 @@
 	reached  map[cyclam.Identity]bool
 	sends    int
 	inFlight int
-	// first is the view on which the first node was chosen.
-	first place.View
 	// retryAfter is the shortest time that a refusal asked for.
 	retryAfter time.Duration
 	reason     cyclam.Reason
@@ -68,7 +66,7 @@
 	if !c.send(ctx, results) {
 		return c.refusal()
 	}
-	hedge := time.NewTimer(c.hedgeAfter(c.first))
+	hedge := time.NewTimer(c.hedgeAfter())
 	defer hedge.Stop()
 	for {
 		select {
@@ -205,9 +203,6 @@
 	if len(c.reached) > 0 || c.failed != nil {
 		n.spend(c.service)
 	}
-	if c.sends == 0 {
-		c.first = target
-	}
 	c.sends++
 	c.inFlight++
 	c.reached[name] = true
@@ -266,8 +261,8 @@
 	return allowed
 }
 
-// mayHedge reports the same where nothing has failed: half of the budget is kept
-// for what has.
+// mayHedge reports the same where nothing has failed: a part of the budget is
+// kept for what has.
 func (c *call) mayHedge() bool {
 	n := c.node
 	nodes := n.nodes()
@@ -300,30 +295,17 @@
 	return budget.New(n.Settings.Budget)
 }
 
-// hedgeAfter is how long an answer may take before a second upstream is asked:
-// so long that the first is late for its kind, and not so long that a second run
-// could not end by the goal.
-func (c *call) hedgeAfter(first place.View) time.Duration {
+// hedgeAfter is how long an answer may take before a second upstream is asked.
+func (c *call) hedgeAfter() time.Duration {
 	if !c.idempotent || c.route.Kind == cyclam.RouteDownload {
 		return time.Hour
 	}
-	goal := c.goal.Sub(c.arrived)
-	run := first.Load.ServiceTime
-	if run <= 0 {
-		return time.Duration(hedgeShare * float64(goal))
-	}
-	late := time.Duration(lateFactor * float64(run))
-	return min(max(late, goal-late), time.Duration(hedgeShare*float64(goal)))
+	return time.Duration(hedgeShare * float64(c.goal.Sub(c.arrived)))
 }
 
-const (
-	// hedgeShare is the part of the goal after which a slow answer is not waited
-	// for alone any more in any case.
-	hedgeShare = 0.75
-	// lateFactor is how much longer than the mean a run takes that is late; most
-	// runs are within it.
-	lateFactor = 1.5
-)
+// hedgeShare is the part of the goal after which a slow answer is not waited for
+// alone any more. Asking earlier cost more slots than it won answers.
+const hedgeShare = 0.75
 
 func (c *call) hedge(ctx context.Context, results chan<- result) {
 	if c.inFlight != 1 || !c.mayHedge() {
