--- a/door/door.go
+++ b/door/door.go
@@ -136,20 +136,13 @@
 
 // Load returns what other nodes are told.
 func (s State) Load(now time.Time) cyclam.Load {
-	nested := 0
-	for _, w := range s.queue {
-		if w.Nested {
-			nested++
-		}
-	}
 	return cyclam.Load{
-		Running:       s.running,
-		Waiting:       len(s.queue),
-		WaitingNested: nested,
-		Limit:         s.limit(now),
-		ServiceTime:   s.mean,
-		Failing:       s.failing,
-		Leaving:       s.leaving || !s.known,
+		Running:     s.running,
+		Waiting:     len(s.queue),
+		Limit:       s.limit(now),
+		ServiceTime: s.mean,
+		Failing:     s.failing,
+		Leaving:     s.leaving || !s.known,
 	}
 }
 
--- a/place/place.go
+++ b/place/place.go
@@ -55,7 +55,7 @@
 const avoidCost = 20 * time.Second
 
 // Expect returns the expected time to an answer.
-func (t Tuning) Expect(now time.Time, r Request, v View) time.Duration {
+func (t Tuning) Expect(now time.Time, v View) time.Duration {
 	service := v.Load.ServiceTime
 	if service <= 0 {
 		service = t.FirstServiceTime
@@ -67,12 +67,7 @@
 	busy := v.Sent
 	if age := now.Sub(v.LoadAt); age < loadMemory {
 		left := float64(loadMemory-age) / float64(loadMemory)
-		load := v.Load.Running + v.Load.Waiting
-		if r.Nested {
-			// It passes all that waits but its like.
-			load = v.Load.Running + v.Load.WaitingNested
-		}
-		busy += int(left * float64(load))
+		busy += int(left * float64(v.Load.Running+v.Load.Waiting))
 	}
 	expected := v.RTT + service
 	if over := busy + 1 - limit; over > 0 {
@@ -99,8 +94,6 @@
 	From cyclam.Place
 	// Bytes is the expected size of the request and its answer together.
 	Bytes int
-	// Nested marks a request made by running work, which goes first in a queue.
-	Nested bool
 }
 
 // HasRoom reports whether the upstream is told to have a free slot.
@@ -131,7 +124,7 @@
 	costs := make([]time.Duration, len(views))
 	best := 0
 	for i, v := range views {
-		costs[i] = t.Expect(now, r, v) + t.bytesCost(r, v.Endpoint.Place)
+		costs[i] = t.Expect(now, v) + t.bytesCost(r, v.Endpoint.Place)
 		if costs[i] < costs[best] {
 			best = i
 		}
--- a/relay/call.go
+++ b/relay/call.go
@@ -338,9 +338,8 @@
 		}
 	}
 	at, ok := n.placing.Choose(now, place.Request{
-		From:   n.Settings.Self.Place,
-		Bytes:  n.size(c.route),
-		Nested: c.offer.Nested,
+		From:  n.Settings.Self.Place,
+		Bytes: n.size(c.route),
 	}, open, rand.IntN)
 	if !ok {
 		return place.View{}, false
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -103,14 +103,13 @@
 		return
 	}
 	m.view.Load = cyclam.Load{
-		Running:       int(l.Running),
-		Waiting:       int(l.Waiting),
-		WaitingNested: int(l.WaitingNested),
-		Limit:         int(l.Limit),
-		ServiceTime:   time.Duration(l.ServiceTimeUs) * time.Microsecond,
-		Failing:       float64(l.Failing) / 1000,
-		Leaving:       l.Leaving,
-		Version:       cyclam.Version(l.Version),
+		Running:     int(l.Running),
+		Waiting:     int(l.Waiting),
+		Limit:       int(l.Limit),
+		ServiceTime: time.Duration(l.ServiceTimeUs) * time.Microsecond,
+		Failing:     float64(l.Failing) / 1000,
+		Leaving:     l.Leaving,
+		Version:     cyclam.Version(l.Version),
 	}
 	if inc := cyclam.Incarnation(l.Incarnation); inc != 0 && inc != m.view.Endpoint.Incarnation {
 		m.view.Endpoint.Incarnation = inc
--- a/relay/work.go
+++ b/relay/work.go
@@ -317,7 +317,6 @@
 	return &wire.Load{
 		Running:       uint32(l.Running),
 		Waiting:       uint32(l.Waiting),
-		WaitingNested: uint32(l.WaitingNested),
 		Limit:         uint32(l.Limit),
 		ServiceTimeUs: uint32(l.ServiceTime.Microseconds()),
 		Failing:       uint32(l.Failing * 1000),
--- a/upstream.go
+++ b/upstream.go
@@ -26,8 +26,6 @@
 	Running int
 	Waiting int
 	Limit   int
-	// WaitingNested is the part of Waiting that was made by running work.
-	WaitingNested int
 	// ServiceTime is the recent mean time of a run.
 	ServiceTime time.Duration
 	// Failing is the share of recent answers that failed, from 0 to 1.
