Times to come back are spread, dead nodes' entries are deleted, a full upstream counts as half slower

Cause: callers refused together were told the same time; nothing deleted the entries of machines that are gone.

--- a/place/place.go
+++ b/place/place.go
@@ -87,7 +87,7 @@
 
 // fullCost is the inverse of the share by which a run is expected to take
 // longer at a full upstream than at an idle one.
-const fullCost = 4
+const fullCost = 2
 
 // Request is what the choice needs to know of a request.
 type Request struct {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -120,7 +120,7 @@
 func (a *attempt) local(ctx context.Context) (cyclam.Verdict, *tail) {
 	j, settled := a.node.admit(a.offer)
 	if settled != nil {
-		v, _, _ := a.collect(ctx, &once{
+		v, _, _ := a.collect(&once{
 			reply: settled,
 		}, nil)
 		return v, nil
@@ -130,7 +130,7 @@
 		ctx: ctx,
 		job: j,
 	}
-	verdict, rest, err := a.collect(ctx, source, func() { a.node.release(j) })
+	verdict, rest, err := a.collect(source, func() { a.node.release(j) })
 	if err != nil {
 		a.node.revoke(j.attempt)
 		return unknown(cyclam.ReasonExpired), nil
@@ -168,7 +168,7 @@
 			a.node.answered(a.target.Endpoint.Instance, time.Since(began))
 		}
 	}
-	verdict, rest, err := a.collect(ctx, source, finish)
+	verdict, rest, err := a.collect(source, finish)
 	ack.Stop()
 	if status.Code(err) == codes.Unimplemented {
 		return unknown(cyclam.ReasonLost), nil, nil
@@ -184,7 +184,7 @@
 
 // collect reads replies until the attempt has ended or its answer is longer than
 // what is held. Finish is called once nothing more is read.
-func (a *attempt) collect(ctx context.Context, source replies, finish func()) (cyclam.Verdict, *tail, error) {
+func (a *attempt) collect(source replies, finish func()) (cyclam.Verdict, *tail, error) {
 	done := func() {
 		if finish != nil {
 			finish()
--- a/relay/call.go
+++ b/relay/call.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
-	"github.com/cyclamensaddle/cyclam/budget"
 	"github.com/cyclamensaddle/cyclam/place"
-	"github.com/cyclamensaddle/cyclam/table"
 	"github.com/cyclamensaddle/cyclam/wire"
-	"math/rand/v2"
 )
 
 // call is one caller's request on its way to an upstream.
@@ -159,10 +157,18 @@
 		reason = cyclam.ReasonNowhere
 	}
 	return result{
-		verdict: cyclam.Refused(reason, max(c.retryAfter, leastRetryAfter)),
+		verdict: cyclam.Refused(reason, spread(max(c.retryAfter, leastRetryAfter))),
 	}
 }
 
+// retrySpread is the part of a time to come back by which it is spread out, so
+// that callers refused together do not return together.
+const retrySpread = 0.5
+
+func spread(d time.Duration) time.Duration {
+	return d + time.Duration(retrySpread*rand.Float64()*float64(d))
+}
+
 // leastRetryAfter is told where no node gave a longer time.
 const leastRetryAfter = 100 * time.Millisecond
 
@@ -243,58 +249,6 @@
 // defaultAttempts holds where a route says nothing.
 const defaultAttempts = 2
 
-// mayRepeat reports whether another upstream may be sent the call although one
-// may have begun to work on it.
-func (c *call) mayRepeat() bool {
-	n := c.node
-	now := time.Now()
-	if c.deadline.Sub(now) < leastTry {
-		return false
-	}
-	nodes := n.nodes()
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	allowed := n.budgetOf(c.service).Allows(now, nodes)
-	if !allowed {
-		n.meters.budgetSpent.Inc(1)
-	}
-	return allowed
-}
-
-// mayHedge reports the same where nothing has failed: a part of the budget is
-// kept for what has.
-func (c *call) mayHedge() bool {
-	n := c.node
-	nodes := n.nodes()
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.budgetOf(c.service).AllowsHedge(time.Now(), nodes)
-}
-
-// leastTry is the least time for which another attempt is worth making.
-const leastTry = 60 * time.Millisecond
-
-// spend counts a repeat against the budget.
-func (n *Node) spend(service cyclam.ServiceName) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.budgets[service] = n.budgetOf(service).WithRepeat(time.Now())
-}
-
-// earn counts a first sending.
-func (n *Node) earn(service cyclam.ServiceName) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.budgets[service] = n.budgetOf(service).WithRequest(time.Now())
-}
-
-func (n *Node) budgetOf(service cyclam.ServiceName) budget.State {
-	if state, ok := n.budgets[service]; ok {
-		return state
-	}
-	return budget.New(n.Settings.Budget)
-}
-
 // hedgeAfter is how long an answer may take before a second upstream is asked.
 func (c *call) hedgeAfter() time.Duration {
 	if !c.idempotent || c.route.Kind == cyclam.RouteDownload {
@@ -319,98 +273,3 @@
 		c.node.meters.hedges.Inc(1)
 	}
 }
-
-// choose returns the node that takes the next attempt.
-func (n *Node) choose(c *call) (place.View, bool) {
-	now := time.Now()
-	n.mu.Lock()
-	views := n.fleet.serving(c.service)
-	n.mu.Unlock()
-	if own, ok := n.ownView(c.service, now); ok {
-		views = append(views, own)
-	}
-	open := views[:0]
-	for _, v := range views {
-		name := v.Endpoint.Identity
-		tried := c.failed != nil && c.failed.target.Endpoint.Identity == name
-		if !c.reached[name] && !tried && c.refusals[name] == 0 {
-			open = append(open, v)
-		}
-	}
-	at, ok := n.placing.Choose(now, place.Request{
-		From:  n.Settings.Self.Place,
-		Bytes: n.size(c.route),
-	}, open, rand.IntN)
-	if !ok {
-		return place.View{}, false
-	}
-	return open[at], true
-}
-
-// The sizes in bytes that are assumed of a route's requests with their answers.
-const (
-	firstSize         = 4000
-	firstDownloadSize = 64000
-)
-
-// sizeWeight is the weight of a new size in the moving average.
-const sizeWeight = 0.05
-
-// size returns the expected bytes of a request of a route and its answer.
-func (n *Node) size(route cyclam.Route) int {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if size, ok := n.sizes[route.Name]; ok {
-		return int(size)
-	}
-	if route.Kind == cyclam.RouteDownload {
-		return firstDownloadSize
-	}
-	return firstSize
-}
-
-// sized takes in the bytes of a request and its answer.
-func (n *Node) sized(route cyclam.Route, bytes int) {
-	before := float64(n.size(route))
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.sizes[route.Name] = before + sizeWeight*(float64(bytes)-before)
-}
-
-// ownView is the view of the upstream beside this node, which is never stale.
-func (n *Node) ownView(service cyclam.ServiceName, now time.Time) (place.View, bool) {
-	if service != n.Settings.Self.Service || n.closed(now) {
-		return place.View{}, false
-	}
-	n.doorMu.Lock()
-	defer n.doorMu.Unlock()
-	if !n.door.Known() {
-		return place.View{}, false
-	}
-	self := n.Settings.Self
-	self.State = cyclam.EndpointReady
-	return place.View{
-		Endpoint: self,
-		Load:     n.door.Load(now),
-		LoadAt:   now,
-	}, true
-}
-
-// part returns the service that takes a request of a route.
-func (n *Node) part(t *table.Table, route cyclam.Route) cyclam.ServiceName {
-	if len(route.Split) == 0 {
-		return route.Service
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	split, ok := n.splits[route.Name]
-	if !ok || !split.Over(route.Split) {
-		split = table.NewSplit(route.Split, rand.IntN(splitStarts))
-	}
-	next, service := split.Next()
-	n.splits[route.Name] = next
-	return service
-}
-
-// splitStarts is the range of points at which a split may begin.
-const splitStarts = 1000
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -200,6 +200,28 @@
 	return nil
 }
 
+// leaveLimit bounds the last call to the store.
+const leaveLimit = 300 * time.Millisecond
+
+// leaveStore deletes the own entry where the upstream has left for good.
+func (n *Node) leaveStore(ctx context.Context) {
+	_, own := n.endpoint()
+	n.entry.mu.Lock()
+	revision := n.entry.revision
+	n.entry.mu.Unlock()
+	if !own.Leaving || revision == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaveLimit)
+	defer cancel()
+	err := n.Platform.Delete(ctx, cyclam.Key{
+		Kind: cyclam.KindEndpoint,
+		Name: string(n.self.Instance),
+	}, revision)
+	n.meters.stored("delete", err)
+	n.Log.Info("entry-deleted", "error", err)
+}
+
 // readEntry reads what the store holds of this node.
 func (n *Node) readEntry(ctx context.Context) {
 	object, err := n.Platform.Get(ctx, cyclam.Key{
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
@@ -13,8 +14,9 @@
 	view place.View
 	// revision is that of the stored entry that was taken in last.
 	revision uint64
-	// failures counts the failed connections in a row.
+	// failures counts the failed connections in a row, lostAt is when they began.
 	failures int
+	lostAt   time.Time
 }
 
 // fleet is the view of all other nodes; the node's lock guards it.
@@ -120,6 +122,7 @@
 	m.view.LoadAt = time.Now()
 	m.view.Sent = 0
 	m.failures = 0
+	m.lostAt = time.Time{}
 	m.view.AvoidUntil = time.Time{}
 }
 
@@ -159,11 +162,40 @@
 	if !ok {
 		return
 	}
+	if m.lostAt.IsZero() {
+		m.lostAt = time.Now()
+	}
 	span := min(avoidBase<<min(m.failures, 4), avoidMax)
 	m.failures++
 	m.view.AvoidUntil = time.Now().Add(span)
 }
 
+// forgetLost deletes the entries of nodes that were out of reach for long. A node
+// that lives writes its entry again.
+func (n *Node) forgetLost(ctx context.Context, now time.Time) {
+	after := n.Settings.ForgetAfter
+	if after <= 0 {
+		return
+	}
+	lost := map[cyclam.InstanceName]uint64{}
+	n.mu.Lock()
+	for name, m := range n.fleet.members {
+		if !m.lostAt.IsZero() && now.Sub(m.lostAt) > after && m.revision > 0 {
+			lost[name] = m.revision
+			m.lostAt = now
+		}
+	}
+	n.mu.Unlock()
+	for name, revision := range lost {
+		err := n.Platform.Delete(ctx, cyclam.Key{
+			Kind: cyclam.KindEndpoint,
+			Name: string(name),
+		}, revision)
+		n.meters.stored("delete", err)
+		n.Log.Info("node-forgotten", "peer", name, "out-of-reach", after, "error", err)
+	}
+}
+
 // refusedBy avoids a node whose upstream is down or leaves.
 func (n *Node) refusedBy(name cyclam.InstanceName, reason cyclam.Reason) {
 	switch reason {
--- a/relay/handle.go
+++ b/relay/handle.go
@@ -62,7 +62,7 @@
 		return
 	}
 	c.version = t.Config.Version
-	c.service = n.part(t, route)
+	c.service = n.part(route)
 	c.offer.Target = target
 	c.offer.Route = route.Name
 	c.offer.Nested = n.runs(meta.Parent)
--- a/relay/node.go
+++ b/relay/node.go
@@ -193,6 +193,7 @@
 				turned = now
 				n.origin.Expire()
 				n.forgetJobs(now)
+				go n.forgetLost(ctx, now)
 			}
 		}
 	}
@@ -235,6 +236,7 @@
 	ctx, cancel := context.WithDeadline(ctx, exitAt)
 	defer cancel()
 	err := n.server.Shutdown(ctx)
+	n.leaveStore(ctx)
 	n.Log.Info("node-stopped", "after", time.Since(began), "callers-in-flight", n.clients.Load(), "error", err)
 }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/pkg/errors"
 )
 
 func TestServedThroughAnotherNode(t *testing.T) {
@@ -494,3 +495,76 @@
 		t.Errorf("runs of what was refused: got %d, want 0", got)
 	}
 }
+
+// The entry of a node that is gone for good is deleted; one that lives and was
+// only out of reach writes its entry again.
+func TestLostNodeIsForgotten(t *testing.T) {
+	s := newSite(t)
+	u := newUpstream(t, "u1")
+	w := &wires{}
+	front := s.node("front", nil, w)
+	front.Settings.ForgetAfter = 300 * time.Millisecond
+	s.run(front)
+	door, stop := s.launch("door", u, nil)
+	s.settle(door, front)
+	key := cyclam.Key{
+		Kind: cyclam.KindEndpoint,
+		Name: "door",
+	}
+	ask := func() {
+		_, _, _, _ = s.ask(t.Context(), front, http.MethodPost, "/book/x", 200*time.Millisecond)
+	}
+	w.refuse.Store(true)
+	w.cut()
+	before, err := s.platform.Get(t.Context(), key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.until("the living node has written its entry again", func() bool {
+		ask()
+		after, err := s.platform.Get(t.Context(), key)
+		return err == nil && after.Revision > before.Revision
+	})
+	stop()
+	s.until("the entry of the dead node is gone", func() bool {
+		ask()
+		_, err := s.platform.Get(t.Context(), key)
+		return errors.Is(err, cyclam.ErrNotFound)
+	})
+}
+
+// Changed limits are taken over while the node runs.
+func TestAdjust(t *testing.T) {
+	s := newSite(t)
+	n := s.start("front", nil, nil)
+	s.settle(n)
+	changed := n.Settings
+	changed.Drain, changed.Grace = 70*time.Millisecond, 4*time.Second
+	changed.Budget.Ratio = 0.05
+	n.Adjust(changed)
+	n.doorMu.Lock()
+	defer n.doorMu.Unlock()
+	if got, want := n.door.Tuning.Drain, changed.Drain; got != want {
+		t.Errorf("drain: got %v, want %v", got, want)
+	}
+	if got, want := time.Duration(n.grace.Load()), changed.Grace; got != want {
+		t.Errorf("grace: got %v, want %v", got, want)
+	}
+	if got, want := n.budgetOf("stock").Tuning.Ratio, 0.05; got != want {
+		t.Errorf("ratio: got %v, want %v", got, want)
+	}
+}
+
+func TestRefusedCallersDoNotReturnTogether(t *testing.T) {
+	seen := map[time.Duration]bool{}
+	for range 50 {
+		d := spread(100 * time.Millisecond)
+		if d < 100*time.Millisecond || d > 150*time.Millisecond {
+			t.Errorf("got %v, want 100 to 150 ms", d)
+		}
+		seen[d] = true
+	}
+	if got, want := len(seen), 25; got < want {
+		t.Errorf("different times: got %d of 50, want at least %d", got, want)
+	}
+}
--- a/relay/settings.go
+++ b/relay/settings.go
@@ -27,6 +27,9 @@
 	Drain time.Duration
 	// Grace is how long a stopping process has until it is killed.
 	Grace time.Duration
+	// ForgetAfter is how long a node may be out of reach before its entry is
+	// deleted from the store; zero keeps it.
+	ForgetAfter time.Duration
 	// Memory is how many bytes the process may use; zero means no limit.
 	Memory int64
 }
