--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 BIN := bin
 CHECKS ?= 5000
 SEED ?= $(shell date +%s)
+SKIP ?=
 
 .PHONY: build demo test fuzz bench reducer generate ci
 
@@ -11,13 +12,17 @@
 demo: build
 	$(BIN)/demo -deployment $(DEPLOYMENT) -bin $(BIN)
 
+# test runs all tests but those that SKIP names.
 test:
-	go test -race ./...
+	go test -race -timeout 30m $(if $(SKIP),-skip '$(SKIP)') ./...
 
 # fuzz plays fresh histories and prints the seed that repeats them.
 fuzz:
 	@echo "seed $(SEED)"
-	go test ./proof -timeout 60m -rapid.checks=$(CHECKS) -rapid.seed=$(SEED)
+	go test ./proof ./budget -timeout 60m -rapid.checks=$(CHECKS) -rapid.seed=$(SEED)
+	for target in FuzzSettings FuzzConfig FuzzNews FuzzAnswer; do \
+		go test ./platform -run xxx -fuzz "^$$target\$$" -fuzztime 20s || exit 1; done
+	go test ./story -run xxx -fuzz '^FuzzParse$$' -fuzztime 20s
 
 # bench prints the comparison of the ways of distribution and keeps the rows.
 bench: build
--- a/relay/call.go
+++ b/relay/call.go
@@ -33,6 +33,8 @@
 	// retryAfter is the shortest time that a refusal asked for.
 	retryAfter time.Duration
 	reason     cyclam.Reason
+	// trail lists the nodes that gave no answer, each with its reason.
+	trail []string
 	// failed is the last answer of an upstream that failed.
 	failed *result
 }
@@ -93,6 +95,9 @@
 	if !r.ran {
 		delete(c.reached, name)
 	}
+	if r.verdict.Outcome != cyclam.Done {
+		c.trail = append(c.trail, string(name.Instance)+":"+string(r.verdict.Reason))
+	}
 	switch r.verdict.Outcome {
 	case cyclam.Done:
 		if r.verdict.Answer.Status < http.StatusInternalServerError || !c.idempotent {
--- a/story/story.go
+++ b/story/story.go
@@ -159,8 +159,11 @@
 		if cause == "" {
 			cause = "status-" + l.Get("status")
 		}
+		if tried := l.Get("tried"); tried != "" {
+			cause += ", tried " + strings.ReplaceAll(tried, ",", " ")
+		}
 		if led := before(lines, l); led != "" {
-			cause += " after " + led
+			cause += ", after " + led
 		}
 		return cause
 	}
--- a/story/story_test.go
+++ b/story/story_test.go
@@ -11,7 +11,7 @@
 noise
 2026-07-09T03:38:25.010Z [WARN]  node: attempt-interrupted: id=9c41 peer=a error=EOF
 sidecar-b 2026-07-09T03:38:25.030Z [WARN]  node: request-failed: id=9c41 outcome=unknown reason=answer-lost status=0
-sidecar-b 2026-07-09T03:38:25.040Z [WARN]  node: request-failed: id=9c42 outcome=not-run reason=overloaded status=0
+sidecar-b 2026-07-09T03:38:25.040Z [WARN]  node: request-failed: id=9c42 outcome=not-run reason=overloaded status=0 tried=a:overloaded,c:draining
 sidecar-b 2026-07-09T03:38:25.015Z [WARN]  node: request-failed: id=9c41.77 outcome=not-run reason=overloaded status=0
 sidecar-b 2026-07-09T03:38:25.050Z [WARN]  node: request-failed: id=9c43 outcome=done reason="" status=500
 `
@@ -22,8 +22,8 @@
 		fmt.Println(err)
 	}
 	// Output:
-	// 03:38:25.040 sidecar-b request-failed id=9c42 outcome=not-run reason=overloaded status=0
-	// cause: overloaded
+	// 03:38:25.040 sidecar-b request-failed id=9c42 outcome=not-run reason=overloaded status=0 tried=a:overloaded,c:draining
+	// cause: overloaded, tried a:overloaded c:draining
 }
 
 func ExampleSummary() {
@@ -57,7 +57,7 @@
 	if got, want := found[2].Get("error"), `read answer: "reset" by peer`; got != want {
 		t.Errorf("quoted value: got %s, want %s", got, want)
 	}
-	if got, want := Cause(found, "9c41"), "answer-lost after attempt-interrupted, request-failed (overloaded), run-without-answer (answer-lost)"; got != want {
+	if got, want := Cause(found, "9c41"), "answer-lost, after attempt-interrupted, request-failed (overloaded), run-without-answer (answer-lost)"; got != want {
 		t.Errorf("cause: got %s, want %s", got, want)
 	}
 	if err := Tell(os.Stderr, lines, "none"); err == nil {
