--- a/relay/work.go
+++ b/relay/work.go
@@ -159,6 +159,10 @@
 	}
 	reason := cyclam.Reason("")
 	switch {
+	case errors.Is(err, origin.ErrNotSent) && j.ctx.Err() != nil:
+		// It was given up before a connection came about; that says nothing of
+		// the upstream.
+		run.Ran, reason = false, cyclam.ReasonCancelled
 	case errors.Is(err, origin.ErrNotSent):
 		run.Ran, run.Failed, reason = false, true, cyclam.ReasonUpstreamDown
 	case sink.meta.Misdirected:
