--- /dev/null
+++ b/relay/know_test.go
@@ -0,0 +1,177 @@
+package relay
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/pkg/errors"
+)
+
+func TestNoConfiguration(t *testing.T) {
+	s := &site{
+		t:        t,
+		platform: newMemory(),
+	}
+	n := s.start("front", nil, nil)
+	s.until("it listens", func() bool {
+		_, _, _, err := s.ask(t.Context(), n, http.MethodGet, "/read/x", time.Second)
+		return err == nil
+	})
+	s.want(n, http.MethodGet, "/read/x", http.StatusServiceUnavailable)
+	if n.Ready() {
+		t.Error("ready without a configuration: got true, want false")
+	}
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	s := newSite(t)
+	n := s.start("front", nil, nil)
+	s.settle(n)
+	s.platform.apply(t, testConfig(9))
+	s.until("version 9 is in force", func() bool { return n.version() == 9 })
+	s.platform.apply(t, testConfig(4))
+	s.platform.apply(t, testConfig(12))
+	s.until("version 12 is in force", func() bool { return n.version() == 12 })
+	n.configure([]byte(`{"Version":11}`), "test")
+	n.configure([]byte(`{"Version":`), "test")
+	if got, want := n.version(), cyclam.Version(12); got != want {
+		t.Errorf("version: got %d, want %d", got, want)
+	}
+}
+
+// A watch that has gone deaf is replaced once another node shows a newer version.
+func TestDeafWatch(t *testing.T) {
+	s := newSite(t)
+	n := s.start("front", nil, nil)
+	s.settle(n)
+	s.platform.deaf.Store(true)
+	s.platform.apply(t, testConfig(5))
+	// Several hints come while older versions are still on their way.
+	n.noteVersion(2)
+	<-time.After(50 * time.Millisecond)
+	n.noteVersion(5)
+	began := time.Now()
+	s.until("version 5 is in force", func() bool { return n.version() == 5 })
+	if got, want := time.Since(began), 2*time.Second; got > want {
+		t.Errorf("in force after %v, want at most %v", got, want)
+	}
+}
+
+// While the store is away, what is known stays in force.
+func TestStoreAway(t *testing.T) {
+	s := newSite(t)
+	u := newUpstream(t, "u1")
+	door, front := s.start("door", u, nil), s.start("front", nil, nil)
+	s.settle(door, front)
+	s.platform.down.Store(true)
+	for range 5 {
+		s.want(front, http.MethodPost, "/book/x", http.StatusOK)
+	}
+	s.platform.down.Store(false)
+	s.platform.apply(t, testConfig(3))
+	s.until("version 3 is in force", func() bool { return front.version() == 3 })
+}
+
+// A node that starts while the store is away learns everything from the others:
+// they know it by its address, and its answers tell that it is a new process.
+func TestRestartWhileStoreIsAway(t *testing.T) {
+	s := newSite(t)
+	u := newUpstream(t, "u1")
+	front := s.start("front", nil, nil)
+	first, stop := s.launch("door", u, nil)
+	s.settle(first, front)
+	s.want(front, http.MethodPost, "/book/x", http.StatusOK)
+	s.platform.down.Store(true)
+	address, callers := first.Settings.Self.Control, first.Settings.Callers
+	stop()
+	again := s.node("door", u, nil)
+	again.Settings.Self.Control, again.Settings.Callers = address, callers
+	s.run(again)
+	s.until("requests reach the new process", func() bool {
+		status, _, _, err := s.ask(t.Context(), front, http.MethodPost, "/book/x", time.Second)
+		return err == nil && status == http.StatusOK
+	})
+	s.until("the new process knows the fleet and the configuration", again.Ready)
+	s.want(again, http.MethodGet, "/read/x", http.StatusOK)
+}
+
+// Requests that come before a starting node has read its configuration wait for
+// it, but not for long.
+func TestStartHoldsRequests(t *testing.T) {
+	s := &site{
+		t:        t,
+		platform: newMemory(),
+	}
+	u := newUpstream(t, "u1")
+	n := s.start("door", u, nil)
+	s.until("it listens", n.up.Load)
+	go func() {
+		<-time.After(50 * time.Millisecond)
+		s.platform.apply(t, testConfig(1))
+	}()
+	status, _, _, err := s.ask(t.Context(), n, http.MethodGet, "/nowhere/", 2*time.Second)
+	if err != nil || status != http.StatusNotFound {
+		t.Errorf("got %d, %v, want an answer by the configuration that came", status, err)
+	}
+}
+
+// The entry of a node that is gone for good is deleted; one that lives and was
+// only out of reach writes its entry again.
+func TestLostNodeIsForgotten(t *testing.T) {
+	s := newSite(t)
+	u := newUpstream(t, "u1")
+	w := &wires{}
+	front := s.node("front", nil, w)
+	front.Settings.ForgetAfter = 300 * time.Millisecond
+	s.run(front)
+	door, stop := s.launch("door", u, nil)
+	s.settle(door, front)
+	key := cyclam.Key{
+		Kind: cyclam.KindEndpoint,
+		Name: "door",
+	}
+	ask := func() {
+		_, _, _, _ = s.ask(t.Context(), front, http.MethodPost, "/book/x", 200*time.Millisecond)
+	}
+	w.refuse.Store(true)
+	w.cut()
+	before, err := s.platform.Get(t.Context(), key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.until("the living node has written its entry again", func() bool {
+		ask()
+		after, err := s.platform.Get(t.Context(), key)
+		return err == nil && after.Revision > before.Revision
+	})
+	stop()
+	s.until("the entry of the dead node is gone", func() bool {
+		ask()
+		_, err := s.platform.Get(t.Context(), key)
+		return errors.Is(err, cyclam.ErrNotFound)
+	})
+}
+
+// Changed limits are taken over while the node runs.
+func TestAdjust(t *testing.T) {
+	s := newSite(t)
+	n := s.start("front", nil, nil)
+	s.settle(n)
+	changed := n.Settings
+	changed.Drain, changed.Grace = 70*time.Millisecond, 4*time.Second
+	changed.Budget.Ratio = 0.05
+	n.Adjust(changed)
+	n.doorMu.Lock()
+	defer n.doorMu.Unlock()
+	if got, want := n.door.Tuning.Drain, changed.Drain; got != want {
+		t.Errorf("drain: got %v, want %v", got, want)
+	}
+	if got, want := time.Duration(n.grace.Load()), changed.Grace; got != want {
+		t.Errorf("grace: got %v, want %v", got, want)
+	}
+	if got, want := n.budgetOf("stock").Tuning.Ratio, 0.05; got != want {
+		t.Errorf("ratio: got %v, want %v", got, want)
+	}
+}
--- /dev/null
+++ b/relay/memory_test.go
@@ -0,0 +1,200 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/pkg/errors"
+)
+
+// testDialect uses header names of its own.
+type testDialect struct{}
+
+func (testDialect) Call(h http.Header) cyclam.CallMeta {
+	wait, _ := time.ParseDuration(h.Get("X-Wait"))
+	return cyclam.CallMeta{
+		ID:        h.Get("X-Id"),
+		Parent:    h.Get("X-Parent"),
+		Remaining: wait,
+	}
+}
+
+func (testDialect) Stamp(h http.Header, meta cyclam.AttemptMeta) {
+	h.Set("X-Id", meta.ID)
+	h.Set("X-Wait", meta.Remaining.String())
+	h.Set("X-Target", meta.Target)
+	h.Set("X-Caller", string(meta.Caller))
+}
+
+func (testDialect) Answer(status int, h http.Header) cyclam.AnswerMeta {
+	return cyclam.AnswerMeta{
+		ID:          h.Get("X-Id"),
+		Signed:      h.Get("X-Signed") != "",
+		NotRun:      h.Get("X-Not-Run") != "",
+		Misdirected: status == http.StatusMisdirectedRequest,
+	}
+}
+
+func (testDialect) Instance(h http.Header) string { return h.Get("X-Instance") }
+
+func (testDialect) ConfigKey() cyclam.Key {
+	return cyclam.Key{
+		Kind: "test-config",
+		Name: "main",
+	}
+}
+
+func (testDialect) Config(spec json.RawMessage) (cyclam.Config, error) {
+	var c cyclam.Config
+	err := json.Unmarshal(spec, &c)
+	return c, errors.Wrap(err, "decode test configuration")
+}
+
+// memory is a platform in memory.
+type memory struct {
+	mu       sync.Mutex
+	objects  map[cyclam.Key]cyclam.Object
+	events   []cyclam.ObjectEvent
+	revision uint64
+	wake     chan struct{}
+	// down refuses every call; deaf lets watches hear nothing.
+	down atomic.Bool
+	deaf atomic.Bool
+}
+
+func newMemory() *memory {
+	return &memory{
+		objects:  map[cyclam.Key]cyclam.Object{},
+		revision: 1,
+		wake:     make(chan struct{}),
+	}
+}
+
+func (m *memory) fault() error {
+	if m.down.Load() {
+		return cyclam.ErrUnavailable
+	}
+	return nil
+}
+
+func (m *memory) Get(_ context.Context, key cyclam.Key) (cyclam.Object, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.fault(); err != nil {
+		return cyclam.Object{}, err
+	}
+	o, ok := m.objects[key]
+	if !ok {
+		return o, cyclam.ErrNotFound
+	}
+	return o, nil
+}
+
+func (m *memory) List(_ context.Context, kinds ...cyclam.Kind) (cyclam.ObjectList, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	list := cyclam.ObjectList{
+		Revision: m.revision,
+	}
+	for key, o := range m.objects {
+		if key.Kind == kinds[0] {
+			list.Objects = append(list.Objects, o)
+		}
+	}
+	return list, m.fault()
+}
+
+func (m *memory) Put(_ context.Context, o cyclam.Object) (cyclam.Object, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.fault(); err != nil {
+		return o, err
+	}
+	if held := m.objects[o.Key()]; held.Revision != o.Revision {
+		return held, cyclam.ErrConflict
+	}
+	m.revision++
+	o.Revision = m.revision
+	m.objects[o.Key()] = o
+	m.note(cyclam.ObjectEvent{
+		Object: o,
+	})
+	return o, nil
+}
+
+func (m *memory) note(e cyclam.ObjectEvent) {
+	m.events = append(m.events, e)
+	close(m.wake)
+	m.wake = make(chan struct{})
+}
+
+func (m *memory) Delete(_ context.Context, key cyclam.Key, _ uint64) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	o := m.objects[key]
+	delete(m.objects, key)
+	m.revision++
+	o.Revision = m.revision
+	m.note(cyclam.ObjectEvent{
+		Object:  o,
+		Deleted: true,
+	})
+	return m.fault()
+}
+
+func (m *memory) Watch(ctx context.Context, from uint64, wait time.Duration, kinds ...cyclam.Kind) (cyclam.ObjectChanges, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		m.mu.Lock()
+		if err := m.fault(); err != nil {
+			m.mu.Unlock()
+			return cyclam.ObjectChanges{}, err
+		}
+		changes := cyclam.ObjectChanges{
+			Revision: m.revision,
+		}
+		for _, e := range m.events {
+			if e.Object.Revision > from && e.Object.Kind == kinds[0] {
+				changes.Events = append(changes.Events, e)
+			}
+		}
+		wake := m.wake
+		m.mu.Unlock()
+		if len(changes.Events) > 0 && !m.deaf.Load() {
+			return changes, nil
+		}
+		select {
+		case <-wake:
+		case <-ctx.Done():
+			return changes, errors.Wrap(cyclam.ErrUnavailable, ctx.Err().Error())
+		}
+	}
+}
+
+// apply writes a configuration.
+func (m *memory) apply(t testing.TB, c cyclam.Config) {
+	t.Helper()
+	spec, err := json.Marshal(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	key := testDialect{}.ConfigKey()
+	m.mu.Lock()
+	revision := m.objects[key].Revision
+	m.mu.Unlock()
+	if _, err := m.Put(t.Context(), cyclam.Object{
+		Kind:     key.Kind,
+		Name:     key.Name,
+		Revision: revision,
+		Spec:     spec,
+	}); err != nil {
+		t.Fatal(err)
+	}
+}
