--- a/conf/conf_test.go
+++ b/conf/conf_test.go
@@ -4,7 +4,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"reflect"
 	"testing"
+	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
 )
@@ -131,8 +133,14 @@
 	good := stockview
 	good.Revision = 3
 	_, set, rulings := NewIntake().WithList([]cyclam.Object{bad, other, good}, NewSet()).Decide(NewSet())
-	if got, want := fmt.Sprint(set.Resources()), "[{stockview 1s}]"; got != want {
-		t.Errorf("got %s, want %s", got, want)
+	want := []cyclam.Resource{
+		cyclam.Service{
+			Name:    "stockview",
+			Timeout: time.Second,
+		},
+	}
+	if got := set.Resources(); !reflect.DeepEqual(got, want) {
+		t.Errorf("got %v, want %v", got, want)
 	}
 	for _, r := range rulings {
 		want := Rejected
