--- a/relay/leave_test.go
+++ b/relay/leave_test.go
@@ -74,7 +74,7 @@
 	s.want(door, http.MethodPost, "/book/x", http.StatusOK)
 }
 
-func TestPlannedStop(t *testing.T) {
+func TestStopEndsWhatRuns(t *testing.T) {
 	s := newSite(t)
 	u := newUpstream(t, "u1")
 	u.work = takes(time.Second)
