--- a/relay/know_test.go
+++ b/relay/know_test.go
@@ -191,7 +191,9 @@
 	}
 	s.settle(nodes...)
 	isReader := func(n *Node) bool { return n.plan().Reader }
-	readers := func() int { return len(slices.DeleteFunc(slices.Clone(nodes), func(n *Node) bool { return !isReader(n) })) }
+	readers := func() int {
+		return len(slices.DeleteFunc(slices.Clone(nodes), func(n *Node) bool { return !isReader(n) }))
+	}
 	s.until("the others have left the store", func() bool { return readers() == feeding.Readers })
 	inForce := func(version cyclam.Version, among []*Node) {
 		t.Helper()
