Logs tell the view that chose a node, the budget left and who is awaited

Change: request-failed carries chosen, view-age, view-running, view-waiting, view-limit, budget-left and awaited; explain names the awaited nodes (test). No effect on what is served.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -70,6 +70,12 @@
 	return float64(repeats+1) <= limit
 }
 
+// Left returns how many more repeats are within this node's share.
+func (s State) Left(now time.Time, nodes int) int {
+	repeats, limit := s.spent(now, nodes)
+	return max(0, int(limit)-repeats)
+}
+
 // hedgeBudget is the part of the bound that requests may spend which have not
 // failed.
 const hedgeBudget = 0.9
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -110,7 +110,7 @@
 		"peer", a.target.Endpoint.Instance,
 		"service", a.offer.Service,
 		"accepted", a.accepted,
-		"view-age", time.Since(a.target.LoadAt),
+		"view-age", viewAge(a.target),
 		"view-running", a.target.Load.Running,
 		"view-waiting", a.target.Load.Waiting,
 	}
--- a/relay/call.go
+++ b/relay/call.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
@@ -37,6 +39,9 @@
 	trail []string
 	// failed is the last answer of an upstream that failed.
 	failed *result
+	// chosen is the view of the node that was chosen last, viewAge its age then.
+	chosen  place.View
+	viewAge string
 }
 
 // result is the end of one attempt.
@@ -214,6 +219,7 @@
 	if len(c.reached) > 0 || c.failed != nil {
 		n.spend(c.service)
 	}
+	c.chosen, c.viewAge = target, viewAge(target)
 	c.sends++
 	c.inFlight++
 	c.reached[name] = true
@@ -231,6 +237,24 @@
 	return true
 }
 
+// viewAge is the age of a view in logs.
+func viewAge(v place.View) string {
+	if v.LoadAt.IsZero() {
+		return "none"
+	}
+	return time.Since(v.LoadAt).Round(time.Millisecond).String()
+}
+
+// awaited names the nodes that may have begun to work and have not answered.
+func (c *call) awaited() string {
+	var names []string
+	for name := range c.reached {
+		names = append(names, string(name.Instance))
+	}
+	slices.Sort(names)
+	return strings.Join(names, ",")
+}
+
 // maxed reports whether the call was sent often enough.
 func (c *call) maxed() bool {
 	total := 0
--- a/relay/handle.go
+++ b/relay/handle.go
@@ -322,12 +322,21 @@
 		"sends", c.sends,
 		"refusals", len(c.refusals),
 		"tried", strings.Join(c.trail, ","),
+		"chosen", c.chosen.Endpoint.Instance,
+		"view-age", c.viewAge,
+		"view-running", c.chosen.Load.Running,
+		"view-waiting", c.chosen.Load.Waiting,
+		"view-limit", c.chosen.Load.Limit,
+		"budget-left", c.budgetLeft(),
 		"took", took,
 		"left", time.Until(c.deadline),
 		"retry-after", v.RetryAfter,
 		"caller", r.RemoteAddr,
 		"caller-gone", r.Context().Err() != nil,
 	}
+	if v.Outcome != cyclam.Done {
+		fields = append(fields, "awaited", c.awaited())
+	}
 	if v.Outcome == cyclam.Done && v.Answer.Status < http.StatusInternalServerError {
 		n.Log.Debug("request-done", fields...)
 		return
--- a/relay/repeat.go
+++ b/relay/repeat.go
@@ -35,6 +35,15 @@
 	return n.budgetOf(c.service).AllowsHedge(time.Now(), nodes)
 }
 
+// budgetLeft returns how many more repeats the call's service allows here.
+func (c *call) budgetLeft() int {
+	n := c.node
+	nodes := n.nodes()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.budgetOf(c.service).Left(time.Now(), nodes)
+}
+
 // leastTry is the least time for which another attempt is worth making.
 const leastTry = 60 * time.Millisecond
 
--- a/story/story.go
+++ b/story/story.go
@@ -162,6 +162,9 @@
 		if tried := l.Get("tried"); tried != "" {
 			cause += ", tried " + strings.ReplaceAll(tried, ",", " ")
 		}
+		if awaited := l.Get("awaited"); awaited != "" {
+			cause += ", awaited " + strings.ReplaceAll(awaited, ",", " ")
+		}
 		if led := before(lines, l); led != "" {
 			cause += ", after " + led
 		}
--- a/story/story_test.go
+++ b/story/story_test.go
@@ -76,3 +76,13 @@
 		}
 	})
 }
+
+func TestCauseNamesAwaitedNodes(t *testing.T) {
+	lines, _, err := Read(strings.NewReader("a 2026-07-09T03:38:25.040Z [WARN]  node: request-failed: id=1 outcome=unknown reason=deadline-exceeded status=0 tried=b:draining awaited=c,d\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := Cause(lines, "1"), "deadline-exceeded, tried b:draining, awaited c d"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
