Nodes pass loads on; a way that was slow is tried again

Cause: among 86 nodes two of them seldom talk: a node sees each of 40 doors about once in four seconds, while a told load counts for two. A round trip measured in a queue stood until the next request to the same node, which it kept away.

A measured round trip falls back to that of an idle way within four seconds.

Tests: a door that is known full only by hearsay is not chosen (fails without it), a slow way is forgotten.

--- a/place/place.go
+++ b/place/place.go
@@ -22,8 +22,11 @@
 	LoadAt time.Time
 	// Sent counts the own attempts since then that have not ended.
 	Sent int
-	// RTT is the time of a message there and back.
-	RTT time.Duration
+	// RTT is the time of a message there and back as it was measured at RTTAt,
+	// Distance what it is on an idle way.
+	RTT      time.Duration
+	RTTAt    time.Time
+	Distance time.Duration
 	// AvoidUntil is set after the link failed or the node refused.
 	AvoidUntil time.Time
 }
@@ -69,7 +72,7 @@
 		left := float64(loadMemory-age) / float64(loadMemory)
 		busy += int(left * float64(v.Load.Running+v.Load.Waiting))
 	}
-	expected := v.RTT + service
+	expected := v.RoundTrip(now) + service
 	if over := busy + 1 - limit; over > 0 {
 		expected += service * time.Duration(over) / time.Duration(limit)
 	}
@@ -85,6 +88,20 @@
 	return expected
 }
 
+// rttMemory is how long a measured round trip counts, less and less as it ages: a
+// queue on the way is over by then, and only a new request would show it.
+const rttMemory = 4 * time.Second
+
+// RoundTrip returns the time that a message is expected to take there and back.
+func (v View) RoundTrip(now time.Time) time.Duration {
+	over := v.RTT - v.Distance
+	if over <= 0 {
+		return v.RTT
+	}
+	left := max(0, rttMemory-now.Sub(v.RTTAt))
+	return v.Distance + time.Duration(float64(over)*float64(left)/float64(rttMemory))
+}
+
 // fullCost is the inverse of the share by which a run is expected to take
 // longer at a full upstream than at an idle one.
 const fullCost = 2
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -116,3 +116,25 @@
 		t.Errorf("choices: got %d, want %d", got, want)
 	}
 }
+
+// A way that was slow while it was crowded is tried again later: nothing else
+// would show that the queue on it is gone.
+func TestSlowWayIsForgotten(t *testing.T) {
+	slow, other := view("slow", here, 0, 0), view("other", far, 0, 0)
+	slow.Distance, other.Distance = Distance(here, here), Distance(here, far)
+	slow.RTT, slow.RTTAt = 400*time.Millisecond, now
+	for _, test := range []struct {
+		after time.Duration
+		want  int
+	}{
+		{after: 0, want: 1},
+		{after: rttMemory, want: 0},
+	} {
+		got, ok := tuning.Choose(now.Add(test.after), Request{
+			From: here,
+		}, []View{slow, other}, func(int) int { return 0 })
+		if !ok || got != test.want {
+			t.Errorf("after %v: got %d, %t, want %d", test.after, got, ok, test.want)
+		}
+	}
+}
--- a/relay/config.go
+++ b/relay/config.go
@@ -34,8 +34,6 @@
 	// staleLimit is the age from which a node no longer relies on its sources; a
 	// healthy reader is at most configWatch behind.
 	staleLimit = configWatch + 4*time.Second
-	// planEvery is the interval at which a reader looks whether it still is one.
-	planEvery = time.Second
 )
 
 // feeding bounds who reads the store: a region that loses three nodes at once
@@ -125,12 +123,13 @@
 			Reader: true,
 		}
 	}
+	now := time.Now()
 	var others []feed.Member
 	for name, m := range n.fleet.members {
 		others = append(others, feed.Member{
 			Name:   name,
 			Region: m.view.Endpoint.Place.Region,
-			Away:   !m.lostAt.IsZero() || m.view.Endpoint.State == cyclam.EndpointGone,
+			Away:   m.away(now),
 		})
 	}
 	return feeding.For(feed.Member{
@@ -143,13 +142,7 @@
 func (n *Node) readConfig(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go func() {
-		for sleep(ctx, planEvery) {
-			if !n.plan().Reader {
-				cancel()
-			}
-		}
-	}()
+	go n.meetReaders(ctx, cancel)
 	key := n.Dialect.ConfigKey()
 	f := &follower{
 		node:   n,
@@ -168,6 +161,30 @@
 	f.run(ctx)
 }
 
+// meetReaders exchanges with the other readers, so that what one of them hears
+// reaches all, and ends once the node is no longer a reader.
+func (n *Node) meetReaders(ctx context.Context, end func()) {
+	for turn := rand.IntN(strayEvery); sleep(ctx, askEvery/2+rand.N(askEvery)); turn++ {
+		plan := n.plan()
+		if !plan.Reader {
+			end()
+			return
+		}
+		from, ok := cyclam.InstanceName(""), false
+		if turn%strayEvery == 0 {
+			from, ok = n.stray()
+		} else if len(plan.Readers) > 0 {
+			from, ok = plan.Readers[rand.IntN(len(plan.Readers))], true
+		}
+		if !ok {
+			continue
+		}
+		if err := n.ask(ctx, from); err != nil {
+			n.Log.Debug("config-source-silent", "peer", from, "error", err)
+		}
+	}
+}
+
 func (n *Node) configListed(list cyclam.ObjectList) {
 	for _, o := range list.Objects {
 		if o.Name == n.Dialect.ConfigKey().Name {
@@ -250,10 +267,11 @@
 func (n *Node) stray() (cyclam.InstanceName, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	now := time.Now()
 	var far, near []cyclam.InstanceName
 	for name, m := range n.fleet.members {
 		switch {
-		case !m.lostAt.IsZero():
+		case m.away(now):
 		case m.view.Endpoint.Place.Region == n.Settings.Self.Place.Region:
 			near = append(near, name)
 		default:
@@ -283,16 +301,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, askLimit)
 	defer cancel()
-	l := n.link(address)
-	conn, err := l.connect(ctx)
-	if err != nil {
-		return err
-	}
-	if err := n.exchange(ctx, wire.NewDoorClient(conn)); err != nil {
-		return cyclam.AtStep("exchange", address, err)
+	conn, err := n.link(address).connect(ctx)
+	if err == nil {
+		err = n.exchange(ctx, wire.NewDoorClient(conn))
 	}
-	n.reached(name)
-	return nil
+	n.asked(name, err)
+	return cyclam.AtStep("exchange", address, err)
 }
 
 // checkStore reads the configuration once, as no other node has lately been in
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -17,6 +17,16 @@
 	// failures counts the failed connections in a row, lostAt is when they began.
 	failures int
 	lostAt   time.Time
+	// missedAt is when it last gave no answer about the configuration.
+	missedAt time.Time
+}
+
+// awayFor is how long such a node is not asked again.
+const awayFor = 5 * time.Second
+
+// away reports whether a node should not be asked now.
+func (m *member) away(now time.Time) bool {
+	return !m.lostAt.IsZero() || now.Sub(m.missedAt) < awayFor || m.view.Endpoint.State == cyclam.EndpointGone
 }
 
 // fleet is the view of all other nodes; the node's lock guards it.
@@ -61,7 +71,8 @@
 	}
 	if !ok || m.view.Endpoint.Identity != e.Identity || m.view.Endpoint.Control != e.Control {
 		m.view = place.View{
-			RTT: place.Distance(f.self.Place, e.Place),
+			RTT:      place.Distance(f.self.Place, e.Place),
+			Distance: place.Distance(f.self.Place, e.Place),
 		}
 		m.failures = 0
 	}
@@ -104,15 +115,7 @@
 	if !ok {
 		return
 	}
-	m.view.Load = cyclam.Load{
-		Running:     int(l.Running),
-		Waiting:     int(l.Waiting),
-		Limit:       int(l.Limit),
-		ServiceTime: time.Duration(l.ServiceTimeUs) * time.Microsecond,
-		Failing:     float64(l.Failing) / 1000,
-		Leaving:     l.Leaving,
-		Version:     cyclam.Version(l.Version),
-	}
+	m.view.Load = decodeLoad(l)
 	if inc := cyclam.Incarnation(l.Incarnation); inc != 0 && inc != m.view.Endpoint.Incarnation {
 		m.view.Endpoint.Incarnation = inc
 		m.view.Endpoint.State = cyclam.EndpointReady
@@ -143,7 +146,10 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if m, ok := n.fleet.members[name]; ok {
-		m.view.RTT += time.Duration(rttWeight * float64(took-m.view.RTT))
+		now := time.Now()
+		before := m.view.RoundTrip(now)
+		m.view.RTT = before + time.Duration(rttWeight*float64(took-before))
+		m.view.RTTAt = now
 	}
 }
 
@@ -170,13 +176,18 @@
 	m.view.AvoidUntil = time.Now().Add(span)
 }
 
-// reached ends the time for which a node was out of reach.
-func (n *Node) reached(name cyclam.InstanceName) {
+// asked takes in whether a node answered what was asked about the configuration.
+func (n *Node) asked(name cyclam.InstanceName, err error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if m, ok := n.fleet.members[name]; ok {
+	m, ok := n.fleet.members[name]
+	switch {
+	case !ok:
+	case err != nil:
+		m.missedAt = time.Now()
+	default:
 		m.failures = 0
-		m.lostAt = time.Time{}
+		m.lostAt, m.missedAt = time.Time{}, time.Time{}
 	}
 }
 
--- a/relay/know_test.go
+++ b/relay/know_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"net/http"
 	"slices"
 	"strconv"
@@ -219,3 +220,36 @@
 		return !slices.ContainsFunc(left, func(n *Node) bool { return n.version() != 3 })
 	})
 }
+
+// A node chooses by loads that it has only heard of: the one of two doors that
+// another node has found full is not chosen.
+func TestLoadsArePassedOn(t *testing.T) {
+	s := newSite(t)
+	full, idle := newUpstream(t, "full"), newUpstream(t, "idle")
+	full.work = takes(3 * time.Second)
+	doorA, doorB := s.start("door-a", full, nil), s.start("door-b", idle, nil)
+	front, other := s.start("front", nil, nil), s.start("other", nil, nil)
+	s.settle(doorA, doorB, front, other)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	for range 4 {
+		go func() { _, _, _, _ = s.ask(ctx, doorA, http.MethodPost, "/book/x", 3*time.Second) }()
+	}
+	s.until("the upstream is full", func() bool { return full.runs.Load() >= 2 })
+	s.until("the node has heard of it", func() bool {
+		if front.ask(ctx, "door-a") != nil || other.ask(ctx, "front") != nil {
+			return false
+		}
+		other.mu.Lock()
+		defer other.mu.Unlock()
+		m := other.fleet.members["door-a"]
+		return m.view.Load.Running >= m.view.Load.Limit && m.view.Load.Limit > 0
+	})
+	before := full.runs.Load()
+	for range 6 {
+		s.want(other, http.MethodPost, "/book/x", http.StatusOK)
+	}
+	if got, want := full.runs.Load(), before; got != want {
+		t.Errorf("runs at the full upstream: got %d, want %d", got, want)
+	}
+}
--- a/relay/work.go
+++ b/relay/work.go
@@ -315,17 +315,11 @@
 
 // load returns what is told to other nodes.
 func (n *Node) load() *wire.Load {
+	now := time.Now()
 	n.doorMu.Lock()
-	l := n.door.Load(time.Now())
+	l := n.door.Load(now)
 	n.doorMu.Unlock()
-	return &wire.Load{
-		Running:       uint32(l.Running),
-		Waiting:       uint32(l.Waiting),
-		Limit:         uint32(l.Limit),
-		ServiceTimeUs: uint32(l.ServiceTime.Microseconds()),
-		Failing:       uint32(l.Failing * 1000),
-		Leaving:       l.Leaving || n.closed(time.Now()),
-		Version:       uint64(n.version()),
-		Incarnation:   uint64(n.self.Incarnation),
-	}
+	l.Leaving = l.Leaving || n.closed(now)
+	l.Version = n.version()
+	return encodeLoad(l, n.self.Incarnation)
 }
