Large answers wait for the own link in the process, not in its queue

Change: package pace spreads the bytes of large answers over the time that the link needs by its stated rate; what is small passes. The backlog is told with the load and counted by place, as is the time of the bytes on the other node's link. A download that was interrupted once is not asked for elsewhere at once. An ended job is kept while somebody still reads it.

--- /dev/null
+++ b/pace/pace.go
@@ -0,0 +1,43 @@
+// Package pace spreads large answers over the time that a node's own link needs
+// for them.
+//
+// The load pattern that it answers: downloads that together nearly fill a narrow
+// link. Sent at once they stand in the link's queue, and every small message,
+// acknowledgement and answer to a nested call behind them; so they wait in the
+// process, where what is small passes them.
+package pace
+
+import "time"
+
+// State is the own link's sending side; With methods return changed copies.
+type State struct {
+	// Rate is how many bytes a second are sent; zero means that nothing waits.
+	Rate float64
+	// clear is when all that was accepted has left.
+	clear time.Time
+}
+
+// queueSpan is how much the link's own queue may hold: enough to keep the link
+// busy while the process is not scheduled, little beside a request's goal.
+const queueSpan = 30 * time.Millisecond
+
+// With accepts bytes and returns how long to wait before they are sent.
+func (s State) With(now time.Time, bytes int) (State, time.Duration) {
+	if s.Rate <= 0 {
+		return s, 0
+	}
+	if s.clear.Before(now) {
+		s.clear = now
+	}
+	wait := max(0, s.clear.Sub(now)-queueSpan)
+	s.clear = s.clear.Add(s.span(bytes))
+	return s, wait
+}
+
+// Backlog returns how long what was accepted still takes to leave.
+func (s State) Backlog(now time.Time) time.Duration { return max(0, s.clear.Sub(now)) }
+
+// span returns how long bytes take.
+func (s State) span(bytes int) time.Duration {
+	return time.Duration(float64(bytes) / s.Rate * float64(time.Second))
+}
--- /dev/null
+++ b/pace/pace_test.go
@@ -0,0 +1,56 @@
+package pace
+
+import (
+	"testing"
+	"time"
+)
+
+var now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Downloads that come together on a link of 8.4 Mbit/s: at once, each small
+// message behind them waits for all of them; paced, for the link's queue only.
+func TestSmallMessagesPassDownloads(t *testing.T) {
+	const (
+		rate      = 1.05e6
+		downloads = 10
+		size      = 90_000
+		piece     = 16 << 10
+	)
+	s := State{
+		Rate: rate,
+	}
+	atOnce := s.span(downloads * size)
+	// queued is what stands in the link's queue at each moment when a piece is
+	// sent: the pieces sent before, less what has left since.
+	var queued, worst time.Duration
+	last := now
+	for range downloads * size / piece {
+		var wait time.Duration
+		s, wait = s.With(now, piece)
+		at := now.Add(wait)
+		queued = max(0, queued-at.Sub(last)) + s.span(piece)
+		last = at
+		worst = max(worst, queued)
+	}
+	if got, want := worst, atOnce/10; got > want {
+		t.Errorf("queue in the link: got %v, want at most a tenth of the %v without pacing", got, want)
+	}
+	if got, want := s.Backlog(now), atOnce*9/10; got < want {
+		t.Errorf("backlog: got %v, want at least %v", got, want)
+	}
+	if got, want := last.Sub(now), atOnce; got > want {
+		t.Errorf("last piece sent after %v, want at most the %v that the link needs", got, want)
+	}
+}
+
+func TestIdleLinkDoesNotWait(t *testing.T) {
+	for _, s := range []State{
+		{},
+		{Rate: 1e6},
+	} {
+		_, wait := s.With(now, 16<<10)
+		if wait != 0 {
+			t.Errorf("rate %v: got a wait of %v, want none", s.Rate, wait)
+		}
+	}
+}
--- a/place/place.go
+++ b/place/place.go
@@ -79,6 +79,9 @@
 	// Many upstreams slow down before they are full.
 	expected += service * time.Duration(min(busy, limit)) / time.Duration(fullCost*limit)
 	expected += time.Duration(v.Load.Failing * float64(t.FailureCost))
+	if age := now.Sub(v.LoadAt); age < v.Load.Sending {
+		expected += v.Load.Sending - age
+	}
 	if v.Load.Leaving || v.Endpoint.State == cyclam.EndpointLeaving {
 		expected += leavingCost
 	}
@@ -132,6 +135,14 @@
 
 const kilobyte = 1000
 
+// transfer returns how long the link of another node needs for a request's bytes.
+func (v View) transfer(r Request) time.Duration {
+	if v.Distance == 0 || v.Load.LinkRate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(r.Bytes) / v.Load.LinkRate * float64(time.Second))
+}
+
 // Choose returns the index of the view that takes an attempt; false means that
 // there is none. Pick is a source of numbers in [0, n).
 func (t Tuning) Choose(now time.Time, r Request, views []View, pick func(n int) int) (int, bool) {
@@ -141,7 +152,7 @@
 	costs := make([]time.Duration, len(views))
 	best := 0
 	for i, v := range views {
-		costs[i] = t.Expect(now, v) + t.bytesCost(r, v.Endpoint.Place)
+		costs[i] = t.Expect(now, v) + t.bytesCost(r, v.Endpoint.Place) + v.transfer(r)
 		if costs[i] < costs[best] {
 			best = i
 		}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -27,6 +27,8 @@
 	started bool
 	// accepted is set once the node has acknowledged the offer.
 	accepted bool
+	// patience is how many interruptions make the attempt suspect.
+	patience int
 }
 
 // replies is a source of an attempt's replies; io.EOF ends it.
@@ -61,6 +63,7 @@
 		return
 	}
 	began := time.Now()
+	interruptions := 0
 	for {
 		verdict, rest, err := a.remote(ctx, began)
 		if err == nil {
@@ -77,10 +80,13 @@
 			a.report(unknown(cyclam.ReasonExpired), nil)
 			return
 		}
-		if !a.offer.Resume {
+		interruptions++
+		if interruptions == 1 {
 			a.started = true
 			a.node.unreachable(a.target.Endpoint.Instance)
 			a.node.Log.Warn("attempt-interrupted", append(a.fields(), "error", err)...)
+		}
+		if interruptions == a.patience {
 			a.results <- result{
 				target:  a.target,
 				suspect: true,
--- a/relay/call.go
+++ b/relay/call.go
@@ -227,16 +227,26 @@
 	offer := c.sending(target)
 	go func() {
 		a := &attempt{
-			node:    n,
-			target:  target,
-			offer:   offer,
-			results: results,
+			node:     n,
+			target:   target,
+			offer:    offer,
+			results:  results,
+			patience: c.patience(),
 		}
 		a.run(ctx, c.deadline)
 	}()
 	return true
 }
 
+// patience is how many interruptions of an attempt let another node be asked as
+// well. A second copy of a large answer would fill the same links.
+func (c *call) patience() int {
+	if c.route.Kind == cyclam.RouteDownload {
+		return 2
+	}
+	return 1
+}
+
 // viewAge is the age of a view in logs.
 func viewAge(v place.View) string {
 	if v.LoadAt.IsZero() {
--- a/relay/handle.go
+++ b/relay/handle.go
@@ -244,7 +244,7 @@
 	v := end.verdict
 	switch v.Outcome {
 	case cyclam.Done:
-		n.deliver(w, id, end)
+		n.deliver(w, r, id, end)
 	case cyclam.NotRun:
 		w.Header().Set("Retry-After", seconds(v.RetryAfter))
 		n.plain(w, http.StatusServiceUnavailable, v.Reason)
@@ -264,7 +264,7 @@
 
 // deliver writes an upstream's answer. One that turns out not to be whole ends
 // with the connection, so that it does not look complete.
-func (n *Node) deliver(w http.ResponseWriter, id string, end result) {
+func (n *Node) deliver(w http.ResponseWriter, r *http.Request, id string, end result) {
 	header := w.Header()
 	header["Date"] = nil
 	header["Content-Type"] = nil
@@ -285,9 +285,14 @@
 	}
 	n.closing(header)
 	w.WriteHeader(answer.Status)
-	_, err := w.Write(answer.Body)
+	paced := &pacedWriter{
+		ctx: r.Context(),
+		out: &n.out,
+		to:  w,
+	}
+	_, err := paced.Write(answer.Body)
 	if err == nil && end.rest != nil {
-		err = end.rest.copyTo(w)
+		err = end.rest.copyTo(paced)
 	} else if end.rest != nil {
 		end.rest.finish()
 	}
--- a/relay/job.go
+++ b/relay/job.go
@@ -149,6 +149,9 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.readers--
+	if j.ended {
+		j.endedAt = time.Now()
+	}
 	return j.readers == 0 && !j.ended
 }
 
@@ -159,9 +162,9 @@
 	return j.readers == 0 && !j.ended
 }
 
-// done reports whether the job has ended, and when.
+// done reports whether the job has ended and nobody reads it, and since when.
 func (j *job) done() (time.Time, bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return j.endedAt, j.ended
+	return j.endedAt, j.ended && j.readers == 0
 }
--- a/relay/link.go
+++ b/relay/link.go
@@ -44,8 +44,10 @@
 	pingLimit = 450 * time.Millisecond
 	// watchEvery is the interval at which a used link is looked at.
 	watchEvery = 150 * time.Millisecond
-	// windowSize lets most answers through without waiting for the reader.
-	windowSize = 1 << 20
+	// windowSize bounds the bytes of an answer that are on their way, so that a
+	// narrow link has a short queue for what comes after them. It is the least
+	// that gRPC keeps.
+	windowSize = 64 << 10
 	// messageLimit bounds one message between nodes, in bytes.
 	messageLimit = 80 << 20
 )
--- a/relay/load.go
+++ b/relay/load.go
@@ -7,6 +7,9 @@
 	"github.com/cyclamensaddle/cyclam/wire"
 )
 
+// linkUnit is the wire's unit of a link's rate, in bytes a second.
+const linkUnit = 1000
+
 // failingUnit is the part of the wire's share of failed answers.
 const failingUnit = 1000
 
@@ -20,6 +23,8 @@
 		Leaving:       l.Leaving,
 		Version:       uint64(l.Version),
 		Incarnation:   uint64(incarnation),
+		SendingUs:     uint32(l.Sending.Microseconds()),
+		LinkKbps:      uint32(l.LinkRate / linkUnit),
 	}
 }
 
@@ -32,6 +37,8 @@
 		Failing:     float64(l.GetFailing()) / failingUnit,
 		Leaving:     l.GetLeaving(),
 		Version:     cyclam.Version(l.GetVersion()),
+		Sending:     time.Duration(l.GetSendingUs()) * time.Microsecond,
+		LinkRate:    float64(l.GetLinkKbps()) * linkUnit,
 	}
 }
 
@@ -44,10 +51,13 @@
 	failingNotable = 0.05
 )
 
+// sendingNotable is the same for what waits to be sent.
+const sendingNotable = 50 * time.Millisecond
+
 // notable reports whether a load would change a choice: what is not told counts
 // as idle.
 func notable(l cyclam.Load) bool {
-	return l.Leaving || l.Failing > failingNotable || 2*(l.Running+l.Waiting) >= l.Limit
+	return l.Leaving || l.Sending > sendingNotable || l.Failing > failingNotable || 2*(l.Running+l.Waiting) >= l.Limit
 }
 
 // loads returns the own load and those of other nodes that are fresh and matter.
--- a/relay/node.go
+++ b/relay/node.go
@@ -13,6 +13,7 @@
 	"github.com/cyclamensaddle/cyclam/budget"
 	"github.com/cyclamensaddle/cyclam/door"
 	"github.com/cyclamensaddle/cyclam/origin"
+	"github.com/cyclamensaddle/cyclam/pace"
 	"github.com/cyclamensaddle/cyclam/place"
 	"github.com/cyclamensaddle/cyclam/table"
 	"github.com/hashicorp/go-hclog"
@@ -72,6 +73,8 @@
 	fenced   fences
 	upstream upstreamState
 
+	out outgoing
+
 	linkMu sync.Mutex
 	links  map[string]*link
 
@@ -131,6 +134,9 @@
 	n.jobs = map[cyclam.AttemptID]*job{}
 	n.running = map[string]int{}
 	n.links = map[string]*link{}
+	n.out.state = pace.State{
+		Rate: paceShare * n.Settings.LinkRate,
+	}
 }
 
 // Run serves until the context ends.
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -59,14 +59,21 @@
 	}
 	j.attach()
 	defer n.release(j)
+	sent := 0
 	for at := 0; ; {
 		ready, err := j.next(stream.Context(), at)
 		if err != nil || len(ready) == 0 {
 			return err
 		}
 		at += len(ready)
-		if err := stream.Send(n.batch(ready)); err != nil {
-			return err
+		sent += bodySize(ready)
+		for _, part := range pieces(ready, sent >= largeFrom) {
+			if wait := n.out.take(bodySize(part)); sent >= largeFrom && !sleep(stream.Context(), wait) {
+				return stream.Context().Err()
+			}
+			if err := stream.Send(n.batch(part)); err != nil {
+				return err
+			}
 		}
 	}
 }
--- a/relay/settings.go
+++ b/relay/settings.go
@@ -30,6 +30,9 @@
 	// ForgetAfter is how long a node may be out of reach before its entry is
 	// deleted from the store; zero keeps it.
 	ForgetAfter time.Duration
+	// LinkRate is how many bytes a second the machine's link carries each way;
+	// zero means that it is not known.
+	LinkRate float64
 	// Memory is how many bytes the process may use; zero means no limit.
 	Memory int64
 }
--- a/relay/work.go
+++ b/relay/work.go
@@ -293,8 +293,7 @@
 	n.doorMu.Lock()
 	defer n.doorMu.Unlock()
 	for attempt, j := range n.jobs {
-		at, done := j.done()
-		if done && now.Sub(at) > jobMemory {
+		if at, done := j.done(); done && now.Sub(at) > jobMemory {
 			delete(n.jobs, attempt)
 			n.fenced.spent.add(attempt)
 		}
@@ -321,5 +320,6 @@
 	n.doorMu.Unlock()
 	l.Leaving = l.Leaving || n.closed(now)
 	l.Version = n.version()
+	l.Sending, l.LinkRate = n.out.backlog(now), n.Settings.LinkRate
 	return encodeLoad(l, n.self.Incarnation)
 }
--- a/upstream.go
+++ b/upstream.go
@@ -31,6 +31,10 @@
 	// Failing is the share of recent answers that failed, from 0 to 1.
 	Failing float64
 	Leaving bool
+	// Sending is how long the node's link needs for what waits to be sent, LinkRate
+	// that link's bytes a second; zero if it is not known.
+	Sending  time.Duration
+	LinkRate float64
 	// Version is the configuration in force at the node.
 	Version Version
 }
