Downloads that the own link can't carry in time are refused

Change: a door refuses a large answer whose bytes can't leave by the goal, with the time until there is room; bytes accepted and not sent yet count, and are told as part of the load. A replay of a link asked for a third too much: more than twice as many in time as without refusals.

--- a/pace/pace.go
+++ b/pace/pace.go
@@ -37,6 +37,31 @@
 // Backlog returns how long what was accepted still takes to leave.
 func (s State) Backlog(now time.Time) time.Duration { return max(0, s.clear.Sub(now)) }
 
+// Admits reports whether a large answer that is ready after work leaves in time
+// for the goal, or for the deadline if the goal has passed. Promised counts the
+// bytes of accepted answers that With was not told of yet. What would only wait for its
+// turn until nobody wants it takes the link from those that come later; without a
+// queue the answer is sent, late or not. The second result is how long it takes
+// until there is room.
+func (s State) Admits(now time.Time, work time.Duration, bytes, promised int, goal, deadline time.Time) (bool, time.Duration) {
+	if s.Rate <= 0 {
+		return true, 0
+	}
+	queued := s.Backlog(now) + s.span(promised)
+	limit := goal
+	if !limit.After(now) {
+		limit = deadline
+	}
+	over := work + queued + s.span(bytes) - limit.Sub(now)
+	if queued <= queueLeast || over <= 0 {
+		return true, 0
+	}
+	return false, over
+}
+
+// queueLeast is the queue that no answer is refused for.
+const queueLeast = 100 * time.Millisecond
+
 // span returns how long bytes take.
 func (s State) span(bytes int) time.Duration {
 	return time.Duration(float64(bytes) / s.Rate * float64(time.Second))
--- a/pace/pace_test.go
+++ b/pace/pace_test.go
@@ -54,3 +54,46 @@
 		}
 	}
 }
+
+// More downloads than the link can carry: accepted all, the queue grows until
+// none is in time; with what can't leave in time refused, those that the link can
+// carry are.
+func TestOverloadedLink(t *testing.T) {
+	const (
+		rate  = 1.05e6
+		size  = 90_000
+		every = 65 * time.Millisecond // a third more than the link carries
+		work  = 200 * time.Millisecond
+		goal  = time.Second
+		count = 300
+	)
+	serve := func(refuse bool) (inTime, refused int) {
+		s := State{
+			Rate: rate,
+		}
+		for i := range count {
+			at := now.Add(time.Duration(i) * every)
+			ok, after := s.Admits(at, work, size, 0, at.Add(goal), at.Add(4*goal))
+			if refuse && !ok {
+				if after <= 0 {
+					t.Errorf("refused without a time to come back: got %v", after)
+				}
+				refused++
+				continue
+			}
+			s, _ = s.With(at, size)
+			if s.Backlog(at)+work <= goal {
+				inTime++
+			}
+		}
+		return inTime, refused
+	}
+	baseline, _ := serve(false)
+	got, refused := serve(true)
+	if want := count * 7 / 10; got < want {
+		t.Errorf("in time: got %d of %d with %d refused, want at least the %d that the link can carry", got, count, refused, want)
+	}
+	if got <= 2*baseline {
+		t.Errorf("in time: got %d, want more than twice the %d without refusals", got, baseline)
+	}
+}
--- a/relay/job.go
+++ b/relay/job.go
@@ -27,9 +27,11 @@
 	held    int
 	read    int
 	wake    chan struct{}
-	ended   bool
-	endedAt time.Time
-	readers int
+	// promised is the bytes that the link has to carry for it yet.
+	promised int
+	ended    bool
+	endedAt  time.Time
+	readers  int
 }
 
 // holdLimit is how many bytes of an answer are kept for reading again; a longer
@@ -162,6 +164,15 @@
 	return j.readers == 0 && !j.ended
 }
 
+// fulfil takes bytes off what is promised and returns how many were.
+func (j *job) fulfil(bytes int) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	bytes = min(bytes, j.promised)
+	j.promised -= bytes
+	return bytes
+}
+
 // done reports whether the job has ended and nobody reads it, and since when.
 func (j *job) done() (time.Time, bool) {
 	j.mu.Lock()
--- a/relay/outgoing.go
+++ b/relay/outgoing.go
@@ -24,12 +24,38 @@
 type outgoing struct {
 	mu    sync.Mutex
 	state pace.State
+	// promised is the bytes of accepted large answers that were not sent yet.
+	promised int
 }
 
+// backlog returns how long the link needs for what was accepted.
 func (o *outgoing) backlog(now time.Time) time.Duration {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.state.Backlog(now)
+	_, ahead := o.state.With(now, 0)
+	if o.state.Rate > 0 {
+		ahead += time.Duration(float64(o.promised) / o.state.Rate * float64(time.Second))
+	}
+	return ahead
+}
+
+// promise accepts a large answer of about so many bytes that is ready after work;
+// false means that it could not leave in time, and tells when there is room.
+func (o *outgoing) promise(now time.Time, work time.Duration, bytes int, goal, deadline time.Time) (bool, time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	ok, after := o.state.Admits(now, work, bytes, o.promised, goal, deadline)
+	if ok {
+		o.promised += bytes
+	}
+	return ok, after
+}
+
+// keep takes bytes off what is promised: they are sent now, or will not come.
+func (o *outgoing) keep(bytes int) {
+	o.mu.Lock()
+	o.promised -= bytes
+	o.mu.Unlock()
 }
 
 // take counts bytes that are about to be sent and returns how long to wait first.
--- a/relay/work.go
+++ b/relay/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"time"
 
@@ -51,6 +52,7 @@
 		n.Log.Warn("offer-malformed", "id", offer.Id, "error", err)
 		return nil, declined(cyclam.ReasonWrongTarget, 0)
 	}
+	bytes := n.knownSize(offer.Route)
 	n.doorMu.Lock()
 	defer n.doorMu.Unlock()
 	meant := cyclam.Identity{
@@ -77,6 +79,16 @@
 	}
 	now := time.Now()
 	j := newJob(context.Background(), offer, attempt, now)
+	goal := now.Add(time.Duration(offer.GoalUs) * time.Microsecond)
+	if bytes >= largeFrom {
+		ok, after := n.out.promise(now, n.door.Load(now).ServiceTime, bytes, goal, j.deadline)
+		if !ok {
+			n.meters.refused(cyclam.ReasonShed)
+			n.Log.Debug("answer-has-no-room", append(n.jobFields(j), "bytes", bytes, "after", after)...)
+			return nil, declined(cyclam.ReasonShed, after)
+		}
+		j.promised = bytes
+	}
 	n.jobs[attempt] = j
 	j.append(&wire.Reply{Kind: &wire.Reply_Accepted{Accepted: &wire.Accepted{}}}, false)
 	n.decideLocked(func(s door.State) (door.State, []door.Decision) {
@@ -86,7 +98,7 @@
 			Nested:   offer.Nested,
 			Priority: int(offer.Priority),
 			Arrived:  now,
-			Goal:     now.Add(time.Duration(offer.GoalUs) * time.Microsecond),
+			Goal:     goal,
 			Deadline: j.deadline,
 		})
 	})
@@ -274,6 +286,7 @@
 
 // release detaches a reader and gives up a job that nobody reads any more.
 func (n *Node) release(j *job) {
+	n.out.keep(j.fulfil(math.MaxInt))
 	if !j.detach() {
 		return
 	}
