--- a/patch/patch_test.go
+++ b/patch/patch_test.go
@@ -61,7 +61,18 @@
 	packed, _ := Encode(routes(3, -1), routes(3, 1))
 	f.Add(packed)
 	f.Fuzz(func(t *testing.T, data []byte) {
-		_, _ = Decode(routes(3, -1), data)
+		base := routes(3, -1)
+		text, err := Decode(base, data)
+		if err != nil {
+			return
+		}
+		packed, err := Encode(base, text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if again, err := Decode(base, packed); err != nil || !bytes.Equal(again, text) {
+			t.Errorf("got %d bytes, %v, want the %d bytes that were packed", len(again), err, len(text))
+		}
 	})
 }
 
