Watches of the configuration end sooner and not together

The eight readers had begun theirs at the same moment, with 5 s to wait and 1.5 s of slack, and heard of version 4 at 9.7 s, 5.4 s after it was acknowledged.

Ruled out: the exchanges between nodes (the others had the version 30 ms after the first reader).

Test: waits in a minute of synthetic time.

--- a/relay/config.go
+++ b/relay/config.go
@@ -19,9 +19,10 @@
 	// hintPatience is how long a newer version at another node may take to come
 	// by the own watch.
 	hintPatience = 400 * time.Millisecond
-	// configWatch is how long a watch of the configuration waits at the store: a
-	// reader that lost it in silence must notice, as others depend on it.
-	configWatch = 5 * time.Second
+	// configWatch is how long a watch of the configuration waits at the store in the
+	// mean: if all go deaf in silence, the first of a few readers has to notice
+	// well within the two seconds in which a configuration has to be in force.
+	configWatch = 2 * time.Second
 	// askEvery is the interval at which a node that does not read the store asks
 	// its parent: a path of three nodes has to be done well within the three
 	// seconds in which a configuration has to be in force.
--- a/relay/know_test.go
+++ b/relay/know_test.go
@@ -6,10 +6,13 @@
 	"slices"
 	"strconv"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
 )
 
 func TestNoConfiguration(t *testing.T) {
@@ -253,3 +256,50 @@
 		t.Errorf("runs at the full upstream: got %d, want %d", got, want)
 	}
 }
+
+// waits records how long watches are asked to wait, and hears nothing.
+type waits struct {
+	*memory
+	spans []time.Duration
+}
+
+// Watch waits for its time and returns no change.
+func (w *waits) Watch(ctx context.Context, from uint64, wait time.Duration, _ ...cyclam.Kind) (cyclam.ObjectChanges, error) {
+	w.spans = append(w.spans, wait)
+	if !sleep(ctx, wait) {
+		return cyclam.ObjectChanges{}, ctx.Err()
+	}
+	return cyclam.ObjectChanges{
+		Revision: from,
+	}, nil
+}
+
+// All watches that wait at one moment may go deaf. Those of the configuration end
+// soon enough for the bound of three seconds, and not at the same time.
+func TestWatchesOfTheConfigurationAreSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := &waits{
+			memory: newMemory(),
+		}
+		n := &Node{
+			Platform: platform,
+			Dialect:  testDialect{},
+			Log:      hclog.NewNullLogger(),
+			hint:     make(chan hint, 1),
+			meters:   newMeters(metrics.NewRegistry()),
+			began:    time.Now(),
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		n.readConfig(ctx)
+		if len(platform.spans) < 10 {
+			t.Fatalf("got %d watches in a minute, want at least 10", len(platform.spans))
+		}
+		if got, want := slices.Max(platform.spans), 3*time.Second; got > want {
+			t.Errorf("longest wait: got %v, want at most %v", got, want)
+		}
+		if got, want := slices.Max(platform.spans)-slices.Min(platform.spans), 500*time.Millisecond; got < want {
+			t.Errorf("waits differ by %v, want at least %v", got, want)
+		}
+	})
+}
--- a/relay/store.go
+++ b/relay/store.go
@@ -39,7 +39,8 @@
 	// listed takes the whole of the kind, changed one event.
 	listed  func(cyclam.ObjectList)
 	changed func(cyclam.ObjectEvent)
-	// wait is how long a watch waits for a change.
+	// wait is how long a watch waits for a change, in the mean: readers must not
+	// renew their watches together, as all that wait may go deaf at once.
 	wait time.Duration
 	// only is the one object of interest, if it is just one. While it changes in
 	// quick succession it is read alone: a watch would bring each change whole.
@@ -161,7 +162,7 @@
 	if f.doubt != nil {
 		go f.doubt(ctx, cancel)
 	}
-	changes, err := f.node.Platform.Watch(ctx, from, f.wait, f.kind)
+	changes, err := f.node.Platform.Watch(ctx, from, f.wait/2+rand.N(f.wait), f.kind)
 	if cause := context.Cause(ctx); err != nil && errors.Is(cause, errNudged) {
 		return changes, cause
 	}
