Tests in synthetic time start the metrics' goroutine before it

Cause: run alone, the two tests hung: the metrics library starts a goroutine that never ends with the first meter, and time stands still while one in the bubble is not blocked for good. After other tests it had been started before. Ruled out: the code under test. Change: meters are made outside of the bubble. With one wait of five seconds for all watches the test fails.

--- a/relay/know_test.go
+++ b/relay/know_test.go
@@ -277,6 +277,8 @@
 // All watches that wait at one moment may go deaf. Those of the configuration end
 // soon enough for the bound of three seconds, and not at the same time.
 func TestWatchesOfTheConfigurationAreSpread(t *testing.T) {
+	// The metrics library starts a goroutine that never ends, outside of the bubble.
+	meters := newMeters(metrics.NewRegistry())
 	synctest.Test(t, func(t *testing.T) {
 		platform := &waits{
 			memory: newMemory(),
@@ -286,7 +288,7 @@
 			Dialect:  testDialect{},
 			Log:      hclog.NewNullLogger(),
 			hint:     make(chan hint, 1),
-			meters:   newMeters(metrics.NewRegistry()),
+			meters:   meters,
 			began:    time.Now(),
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
--- a/relay/wires_test.go
+++ b/relay/wires_test.go
@@ -141,6 +141,8 @@
 // one is.
 func TestAwaitReply(t *testing.T) {
 	const limit = 300 * time.Millisecond
+	// The metrics library starts a goroutine that never ends, outside of the bubble.
+	meters := newMeters(metrics.NewRegistry())
 	tests := []struct {
 		name  string
 		heard bool
@@ -154,7 +156,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				n := &Node{
 					Log:    hclog.NewNullLogger(),
-					meters: newMeters(metrics.NewRegistry()),
+					meters: meters,
 				}
 				l := &link{
 					node:    n,
