Record why a run is cancelled and which answers are discarded unread

A line run-without-answer with reason=cancelled did not tell whether the sender had revoked the attempt or the node had given it up for lack of a reader, and a discarded answer left no trace. The line now has the cause and how long the attempt has had no reader; three counters tell revoked runs, runs without a reader and answers discarded before they were read.

go test ./proxy -run 'CancelCause|CallerLeaves' -race -count=3 passes.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -138,9 +138,12 @@
 		ctx: ctx,
 		job: j,
 	}
-	completion, rest, err := a.collect(source, func() { a.node.release(j) })
+	completion, rest, err := a.collect(source, func() {
+		j.markDelivered()
+		a.node.release(j)
+	})
 	if err != nil {
-		a.node.revoke(j.attempt)
+		a.node.revoke(j.attempt, errRevoked)
 		return unknown(cyclam.ReasonDeadlineExceeded), nil
 	}
 	return completion, rest
--- a/proxy/job.go
+++ b/proxy/job.go
@@ -19,7 +19,8 @@
 	arrived  time.Time
 	deadline time.Time
 	ctx      context.Context
-	cancel   context.CancelFunc
+	// cancel ends the run with a cause, which is logged.
+	cancel context.CancelCauseFunc
 
 	mu      sync.Mutex
 	log     []*wire.Reply
@@ -35,14 +36,25 @@
 	committed int
 	ended     bool
 	endedAt   time.Time
-	// readers is the number of streams that read the job.
-	readers int
+	// delivered is set once a reader has read the last reply.
+	delivered bool
+	// readers is the number of streams that read the job; unreadSince is when the last
+	// one left.
+	readers     int
+	unreadSince time.Time
 }
 
 // answerBufferLimit is the most bytes of an answer that are buffered for reading again.
 // A longer answer is streamed at the reader's pace.
 const answerBufferLimit = 1 << 20
 
+// Causes for which a run is cancelled.
+var (
+	errEnded   = errors.New("run has ended")
+	errRevoked = errors.New("revoked by the sender")
+	errUnread  = errors.New("no reader")
+)
+
 var errNotRetained = errors.New("start of the answer is no longer buffered")
 
 func newJob(ctx context.Context, offer *wire.Offer, attempt cyclam.AttemptID, now time.Time) *job {
@@ -54,7 +66,12 @@
 		deadline: now.Add(remaining),
 		wake:     make(chan struct{}),
 	}
-	j.ctx, j.cancel = context.WithDeadline(ctx, j.deadline)
+	ctx, stopTimer := context.WithDeadline(ctx, j.deadline)
+	ctx, cancel := context.WithCancelCause(ctx)
+	j.ctx, j.cancel = ctx, func(cause error) {
+		cancel(cause)
+		stopTimer()
+	}
 	return j
 }
 
@@ -133,6 +150,7 @@
 			return ready, nil
 		}
 		if j.ended {
+			j.delivered = true
 			j.mu.Unlock()
 			return nil, nil
 		}
@@ -146,6 +164,21 @@
 	}
 }
 
+// markDelivered records that a reader on this node has read the last reply, if the job
+// has ended.
+func (j *job) markDelivered() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.delivered = j.ended
+}
+
+// wasDelivered reports whether a reader has read the last reply.
+func (j *job) wasDelivered() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.delivered
+}
+
 // attach adds a reader.
 func (j *job) attach() {
 	j.mu.Lock()
@@ -159,12 +192,30 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.readers--
+	j.unreadSince = time.Now()
 	if j.ended {
-		j.endedAt = time.Now()
+		j.endedAt = j.unreadSince
 	}
 	return j.readers == 0 && !j.ended
 }
 
+// unreadFor returns how long the job has had no reader; zero if it has one.
+func (j *job) unreadFor(now time.Time) time.Duration {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.readers > 0 || j.unreadSince.IsZero() {
+		return 0
+	}
+	return now.Sub(j.unreadSince)
+}
+
+// hasEnded reports whether the final reply is in the log.
+func (j *job) hasEnded() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.ended
+}
+
 // orphaned reports whether the job is still running without a reader.
 func (j *job) orphaned() bool {
 	j.mu.Lock()
--- a/proxy/meters.go
+++ b/proxy/meters.go
@@ -4,6 +4,7 @@
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 )
 
@@ -14,19 +15,28 @@
 	hedges      metrics.Counter
 	budgetSpent metrics.Counter
 	resets      metrics.Counter
-	requests    metrics.Timer
-	run         metrics.Timer
+	// cancelledRevoked and cancelledUnread count the runs cancelled by their sender and
+	// for lack of a reader; discardedUnread counts the answers discarded before a reader
+	// had read them.
+	cancelledRevoked metrics.Counter
+	cancelledUnread  metrics.Counter
+	discardedUnread  metrics.Counter
+	requests         metrics.Timer
+	run              metrics.Timer
 }
 
 func newMeters(r metrics.Registry) meters {
 	return meters{
-		registry:    r,
-		resends:     metrics.GetOrRegisterCounter("attempts-resent", r),
-		hedges:      metrics.GetOrRegisterCounter("attempts-hedged", r),
-		budgetSpent: metrics.GetOrRegisterCounter("retry-budget-spent", r),
-		resets:      metrics.GetOrRegisterCounter("links-reset", r),
-		requests:    metrics.GetOrRegisterTimer("request", r),
-		run:         metrics.GetOrRegisterTimer("upstream-run", r),
+		registry:         r,
+		resends:          metrics.GetOrRegisterCounter("attempts-resent", r),
+		hedges:           metrics.GetOrRegisterCounter("attempts-hedged", r),
+		budgetSpent:      metrics.GetOrRegisterCounter("retry-budget-spent", r),
+		resets:           metrics.GetOrRegisterCounter("links-reset", r),
+		cancelledRevoked: metrics.GetOrRegisterCounter("runs-cancelled-revoked", r),
+		cancelledUnread:  metrics.GetOrRegisterCounter("runs-cancelled-unread", r),
+		discardedUnread:  metrics.GetOrRegisterCounter("answers-discarded-unread", r),
+		requests:         metrics.GetOrRegisterTimer("request", r),
+		run:              metrics.GetOrRegisterTimer("upstream-run", r),
 	}
 }
 
@@ -39,6 +49,15 @@
 	metrics.GetOrRegisterCounter("requests-"+v.Outcome.String(), m.registry).Inc(1)
 }
 
+// countCancelledRun counts a run that is cancelled for cause.
+func (m meters) countCancelledRun(cause error) {
+	if errors.Is(cause, errUnread) {
+		m.cancelledUnread.Inc(1)
+		return
+	}
+	m.cancelledRevoked.Inc(1)
+}
+
 // countStoreCall counts a call to the platform's store by operation and result.
 func (m meters) countStoreCall(call string, err error) {
 	result := "ok"
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -154,7 +154,7 @@
 		n.recordAnswerBytes(j.offer.Route, sink.bytes)
 	}
 	j.append(last, true)
-	j.cancel()
+	j.cancel(errEnded)
 	n.decide(func(s sched.State) (sched.State, []sched.Decision) { return s.End(time.Now(), run) })
 }
 
@@ -222,7 +222,13 @@
 		run.Failed = true
 	}
 	if reason != "" {
-		n.Log.Warn("run-without-answer", append(n.jobFields(j), "reason", reason, "took", took, "error", err)...)
+		n.Log.Warn("run-without-answer", append(n.jobFields(j),
+			"reason", reason,
+			"took", took,
+			"cause", context.Cause(j.ctx),
+			"unread-for", j.unreadFor(time.Now()),
+			"error", err,
+		)...)
 	}
 	return run, ended(reason)
 }
@@ -281,9 +287,9 @@
 	}}}
 }
 
-// revoke cancels an attempt. It returns true if the attempt has not started and never
-// will.
-func (n *Node) revoke(attempt cyclam.AttemptID) bool {
+// revoke cancels an attempt for cause. It returns true if the attempt has not started and
+// never will.
+func (n *Node) revoke(attempt cyclam.AttemptID, cause error) bool {
 	n.schedMu.Lock()
 	defer n.schedMu.Unlock()
 	j, known := n.jobs[attempt]
@@ -296,7 +302,10 @@
 	}
 	state, queued := n.scheduler.Withdraw(attempt)
 	if !queued {
-		j.cancel()
+		if !j.hasEnded() {
+			n.meters.countCancelledRun(cause)
+		}
+		j.cancel(cause)
 		return false
 	}
 	n.scheduler = state
@@ -317,7 +326,7 @@
 	}
 	time.AfterFunc(orphanGrace, func() {
 		if j.orphaned() {
-			n.revoke(j.attempt)
+			n.revoke(j.attempt, errUnread)
 		}
 	})
 }
@@ -334,14 +343,22 @@
 	defer n.schedMu.Unlock()
 	for attempt, j := range n.jobs {
 		if at, done := j.done(); done && now.Sub(at) > answerRetention {
-			delete(n.jobs, attempt)
-			n.fences.discarded.add(attempt)
+			n.discard(attempt, j)
 		}
 	}
 	n.fences.revoked.rotate(now)
 	n.fences.discarded.rotate(now)
 }
 
+// discard removes an ended job and its answer. The caller holds schedMu.
+func (n *Node) discard(attempt cyclam.AttemptID, j *job) {
+	delete(n.jobs, attempt)
+	n.fences.discarded.add(attempt)
+	if !j.wasDelivered() {
+		n.meters.discardedUnread.Inc(1)
+	}
+}
+
 func (n *Node) jobFields(j *job) []any {
 	return []any{
 		"id", j.offer.Id,
