Add failing tests for senders that take long to reconnect

What callers see: 502 for a request that was running or had been answered, once the connection between two nodes has broken and the sender needs longer than 400 ms (a run) or 700 ms (an answer or a refusal) to come back; and a lost answer if the node that holds it stops meanwhile.

--- /dev/null
+++ b/proxy/interrupt_test.go
@@ -0,0 +1,113 @@
+package proxy
+
+import (
+	"net/http"
+	"testing"
+	"time"
+)
+
+// interruptWhile breaks the network's connections as soon as ready is met, and lets new
+// ones succeed after span.
+func (s *testCluster) interruptWhile(w *testNetwork, span time.Duration, what string, ready func() bool) {
+	s.waitFor(what, ready)
+	w.refuse.Store(true)
+	w.cut()
+	time.AfterFunc(span, func() { w.refuse.Store(false) })
+}
+
+// A run must not be cut because its sender takes long to reconnect: the sender resumes
+// the attempt until the deadline.
+func TestRunSurvivesLongInterruption(t *testing.T) {
+	for _, method := range []string{http.MethodPost, http.MethodGet} {
+		t.Run(method, func(t *testing.T) {
+			s := newTestCluster(t)
+			u := newUpstream(t, "u1")
+			u.work = respondAfter(1500 * time.Millisecond)
+			w := &testNetwork{}
+			backend, ingress := s.start("door", u, nil), s.start("front", nil, w)
+			s.awaitReady(backend, ingress)
+			go s.interruptWhile(w, 800*time.Millisecond, "the upstream works", func() bool { return u.runs.Load() == 1 })
+			path := map[string]string{http.MethodPost: "/book/x", http.MethodGet: "/read/x"}[method]
+			if got, want := s.want(ingress, method, path, http.StatusOK), "worked"; got != want {
+				t.Errorf("body: got %q, want %q", got, want)
+			}
+			if got, want := u.runs.Load(), int64(1); got != want {
+				t.Errorf("runs: got %d, want %d", got, want)
+			}
+			if got, want := u.cancelled.Load(), int64(0); got != want {
+				t.Errorf("cancelled runs: got %d, want %d", got, want)
+			}
+		})
+	}
+}
+
+// An answer that its sender has not read must be kept while the sender may still resume
+// the attempt.
+func TestAnswerSurvivesLongInterruption(t *testing.T) {
+	s := newTestCluster(t)
+	u := newUpstream(t, "u1")
+	u.work = respondAfter(100 * time.Millisecond)
+	w := &testNetwork{}
+	backend, ingress := s.start("door", u, nil), s.start("front", nil, w)
+	s.awaitReady(backend, ingress)
+	go s.interruptWhile(w, 2200*time.Millisecond, "the upstream works", func() bool { return u.runs.Load() == 1 })
+	status, body, _, err := s.request(t.Context(), ingress, http.MethodPost, "/book/x", 2900*time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := status, http.StatusOK; got != want {
+		t.Errorf("status: got %d %q, want %d", got, body, want)
+	}
+}
+
+// A sender that returns late to an attempt that was refused meanwhile must learn that it
+// did not run.
+func TestRefusalSurvivesLongInterruption(t *testing.T) {
+	s := newTestCluster(t)
+	u := newUpstream(t, "u1")
+	u.work = respondAfter(2800 * time.Millisecond)
+	w := &testNetwork{}
+	backend, ingress := s.start("door", u, nil), s.start("front", nil, w)
+	s.awaitReady(backend, ingress)
+	for range 2 {
+		go func() {
+			_, _, _, _ = s.request(t.Context(), backend, http.MethodPost, "/book/x", 3*time.Second)
+		}()
+	}
+	s.waitFor("all slots are used", func() bool { return u.runs.Load() == 2 })
+	go s.interruptWhile(w, 2300*time.Millisecond, "the attempt waits", func() bool {
+		return backend.load().Waiting == 1
+	})
+	status, body, _, err := s.request(t.Context(), ingress, http.MethodPost, "/book/x", 2900*time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := status, http.StatusServiceUnavailable; got != want {
+		t.Errorf("status: got %d %q, want %d", got, body, want)
+	}
+}
+
+// A stopping node must not exit before the senders have read the answers of ended runs.
+func TestStopDeliversAnswers(t *testing.T) {
+	s := newTestCluster(t)
+	u := newUpstream(t, "u1")
+	u.work = respondAfter(200 * time.Millisecond)
+	w := &testNetwork{}
+	backend, end := s.launch("door", u, nil)
+	ingress := s.start("front", nil, w)
+	s.awaitReady(backend, ingress)
+	go func() {
+		backend.Stop(t.Context())
+		end()
+	}()
+	s.waitFor("the node is stopping", backend.stopping.Load)
+	<-time.After(peerGrace - 200*time.Millisecond)
+	go s.interruptWhile(w, 1800*time.Millisecond, "the upstream works", func() bool { return u.runs.Load() == 1 })
+	status, body, _, err := s.request(t.Context(), ingress, http.MethodPost, "/book/x", 2900*time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := status, http.StatusOK; got != want {
+		t.Errorf("status: got %d %q, want %d", got, body, want)
+	}
+}
