Continue a run whose sender has lost the connection

Cause: two ends of one protocol disagree on how long a broken connection may last. The sender resumes an interrupted attempt until the deadline. The upstream's node took 400 ms without a reader for a cancellation and cut the run, although the sender needs up to 350 ms to connect, 60 ms before each new try, and longer on a full link.

Change: a lost connection does not end a run any more. What ends it is its end, its deadline, or a revocation by its sender, which now retries until it is confirmed, also if a streamed answer is given up midway. An attempt that waits for a slot is still withdrawn after 400 ms, which is harmless: its sender learns that it did not run. A run whose answer can't be read whole any more is cancelled as before.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -23,6 +23,8 @@
 	target  picker.Candidate
 	offer   *wire.Offer
 	results chan<- result
+	// deadline is the call's deadline.
+	deadline time.Time
 	// started is set once the upstream may have started to work.
 	started bool
 	// accepted is set once the node has acknowledged the offer.
@@ -59,7 +61,7 @@
 
 // run sends the attempt and reports its outcome. Before that it may report once
 // that the attempt is suspect.
-func (a *attempt) run(ctx context.Context, deadline time.Time) {
+func (a *attempt) run(ctx context.Context) {
 	if a.target.Endpoint.Identity == a.node.self {
 		a.report(a.runLocal(ctx))
 		return
@@ -95,7 +97,7 @@
 			}
 		}
 		a.offer.Resume = true
-		a.offer.RemainingUs = time.Until(deadline).Microseconds()
+		a.offer.RemainingUs = time.Until(a.deadline).Microseconds()
 		select {
 		case <-ctx.Done():
 		case <-time.After(resumePause):
@@ -128,7 +130,7 @@
 func (a *attempt) runLocal(ctx context.Context) (cyclam.Completion, *answerRest) {
 	j, final := a.node.admit(a.offer)
 	if final != nil {
-		v, _, _ := a.collect(&singleReply{
+		v, _, _ := a.collect(ctx, &singleReply{
 			reply: final,
 		}, nil)
 		return v, nil
@@ -138,12 +140,12 @@
 		ctx: ctx,
 		job: j,
 	}
-	completion, rest, err := a.collect(source, func() {
+	completion, rest, err := a.collect(ctx, source, func() {
 		j.markDelivered()
 		a.node.release(j)
 	})
 	if err != nil {
-		a.node.revoke(j.attempt, errRevoked)
+		a.revoke()
 		return unknown(cyclam.ReasonDeadlineExceeded), nil
 	}
 	return completion, rest
@@ -180,7 +182,7 @@
 			a.node.observeRTT(a.target.Endpoint.Instance, time.Since(began))
 		}
 	}
-	completion, rest, err := a.collect(source, finish)
+	completion, rest, err := a.collect(ctx, source, finish)
 	if status.Code(err) == codes.Unimplemented {
 		return unknown(cyclam.ReasonAnswerLost), nil, nil
 	}
@@ -195,8 +197,9 @@
 
 // collect reads replies until the attempt has ended or its answer exceeds
 // answerBufferLimit bytes; the rest is then returned as a stream. finish is called once
-// nothing more is read; nil is allowed.
-func (a *attempt) collect(source replyReader, finish func()) (cyclam.Completion, *answerRest, error) {
+// nothing more is read; nil is allowed. The attempt is revoked if ctx ends before the
+// rest has been read.
+func (a *attempt) collect(ctx context.Context, source replyReader, finish func()) (cyclam.Completion, *answerRest, error) {
 	done := func() {
 		if finish != nil {
 			finish()
@@ -221,8 +224,9 @@
 		}
 		if len(partial.answer.Body) > answerBufferLimit {
 			return doneWith(partial.answer), &answerRest{
-				source: source,
-				finish: done,
+				source:     source,
+				finish:     done,
+				keepAnswer: context.AfterFunc(ctx, a.revoke),
 			}, nil
 		}
 	}
@@ -289,29 +293,6 @@
 	}
 }
 
-// revokeTimeout bounds the request that revokes an attempt.
-const revokeTimeout = time.Second
-
-// revoke tells the node in the background that the answer is no longer needed.
-func (a *attempt) revoke() {
-	l := a.node.link(a.target.Endpoint.Control)
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), revokeTimeout)
-		defer cancel()
-		conn, err := l.connect(ctx)
-		if err == nil {
-			_, err = wire.NewDoorClient(conn).Revoke(ctx, &wire.CancelRequest{
-				Attempt:     a.offer.Attempt,
-				Instance:    a.offer.Instance,
-				Incarnation: a.offer.Incarnation,
-			})
-		}
-		if err != nil {
-			a.node.Log.Debug("revoke-failed", append(a.logFields(), "error", err)...)
-		}
-	}()
-}
-
 // linkReader reads replies from another node.
 type linkReader struct {
 	stream  grpc.ServerStreamingClient[wire.Replies]
@@ -367,6 +348,9 @@
 type answerRest struct {
 	source replyReader
 	finish func()
+	// keepAnswer is called once the rest has been read, so that the attempt is not
+	// revoked when its context ends.
+	keepAnswer func() bool
 }
 
 // copyTo writes the rest of the answer to w. An error means that the answer is
@@ -385,6 +369,7 @@
 					return err
 				}
 			case *wire.Reply_End:
+				r.keepAnswer()
 				if k.End.Reason != "" {
 					return errors.New(k.End.Reason)
 				}
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -236,9 +236,10 @@
 			target:       target,
 			offer:        offer,
 			results:      results,
+			deadline:     c.deadline,
 			suspectAfter: c.suspectAfter(),
 		}
-		a.run(ctx, c.deadline)
+		a.run(ctx)
 	}()
 	return true
 }
--- a/proxy/interrupt_test.go
+++ b/proxy/interrupt_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"net/http"
 	"testing"
 	"time"
@@ -41,6 +42,34 @@
 	}
 }
 
+// A run of a caller that left while the connection was broken must be revoked once the
+// nodes reach each other again, not go on until its deadline.
+func TestCallerLeavesDuringInterruption(t *testing.T) {
+	s := newTestCluster(t)
+	u := newUpstream(t, "u1")
+	u.work = respondAfter(5 * time.Second)
+	w := &testNetwork{}
+	backend, ingress := s.start("door", u, nil), s.start("front", nil, w)
+	s.awaitReady(backend, ingress)
+	const span = 600 * time.Millisecond
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		s.interruptWhile(w, span, "the upstream works", func() bool { return u.runs.Load() == 1 })
+		cancel()
+	}()
+	if _, _, _, err := s.request(ctx, ingress, http.MethodGet, "/read/x", 3*time.Second); err == nil {
+		t.Error("got an answer, want none")
+	}
+	left := time.Now()
+	s.waitFor("the upstream request is cancelled", func() bool { return u.cancelled.Load() == 1 })
+	if got, want := time.Since(left), span+500*time.Millisecond; got > want {
+		t.Errorf("cancellation after the caller left: got %v, want at most %v", got, want)
+	}
+	if got, want := backend.meters.cancelledRevoked.Count(), int64(1); got != want {
+		t.Errorf("revoked runs: got %d, want %d", got, want)
+	}
+}
+
 // An answer that its sender has not read must be kept while the sender may still resume
 // the attempt.
 func TestAnswerSurvivesLongInterruption(t *testing.T) {
--- a/proxy/job.go
+++ b/proxy/job.go
@@ -99,7 +99,8 @@
 }
 
 // throttle drops replies that have been read and blocks while more than
-// answerBufferLimit bytes are unread.
+// answerBufferLimit bytes are unread. Without a reader nothing is dropped, so that the
+// job can be resumed.
 func (j *job) throttle() error {
 	for {
 		j.mu.Lock()
@@ -107,7 +108,7 @@
 			j.mu.Unlock()
 			return nil
 		}
-		for j.buffered > answerBufferLimit && j.dropped < j.read {
+		for j.readers > 0 && j.buffered > answerBufferLimit && j.dropped < j.read {
 			j.buffered -= len(j.log[0].GetChunk())
 			j.log = j.log[1:]
 			j.dropped++
@@ -216,13 +217,20 @@
 	return j.ended
 }
 
-// orphaned reports whether the job is still running without a reader.
-func (j *job) orphaned() bool {
+// unread reports whether the job has not ended and has no reader.
+func (j *job) unread() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	return j.readers == 0 && !j.ended
 }
 
+// resumable reports whether a new reader can still read all replies.
+func (j *job) resumable() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.dropped == 0
+}
+
 // uncommit removes up to bytes from the job's committed bytes and returns how many were
 // removed.
 func (j *job) uncommit(bytes int) int {
--- /dev/null
+++ b/proxy/revoke.go
@@ -0,0 +1,57 @@
+package proxy
+
+import (
+	"context"
+	"time"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/codec"
+	"github.com/cyclamensaddle/cyclam/wire"
+)
+
+// revokeTimeout bounds one request that revokes an attempt. Past the deadline, requests
+// go on for as long, because an offer may have been delayed on its way.
+const revokeTimeout = time.Second
+
+// revoke tells the node in the background that the answer is no longer needed. It retries
+// until the node has confirmed it or the attempt's deadline has passed: the node does not
+// end a run because a connection is lost.
+func (a *attempt) revoke() {
+	if a.target.Endpoint.Identity == a.node.self {
+		if id, err := codec.DecodeAttempt(a.offer.Attempt); err == nil {
+			a.node.revoke(id, errRevoked)
+		}
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithDeadline(context.Background(), a.deadline.Add(revokeTimeout))
+		defer cancel()
+		for failures := 0; ; failures++ {
+			err := a.requestRevoke(ctx)
+			if err == nil {
+				return
+			}
+			if ctx.Err() != nil {
+				a.node.Log.Debug("revoke-failed", append(a.logFields(), "failures", failures, "error", err)...)
+				return
+			}
+			sleep(ctx, resumePause)
+		}
+	}()
+}
+
+// requestRevoke sends one request that revokes the attempt.
+func (a *attempt) requestRevoke(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, revokeTimeout)
+	defer cancel()
+	conn, err := a.node.link(a.target.Endpoint.Control).connect(ctx)
+	if err != nil {
+		return err
+	}
+	_, err = wire.NewDoorClient(conn).Revoke(ctx, &wire.CancelRequest{
+		Attempt:     a.offer.Attempt,
+		Instance:    a.offer.Instance,
+		Incarnation: a.offer.Incarnation,
+	})
+	return cyclam.AtStep("revoke", a.target.Endpoint.Control, err)
+}
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -313,22 +313,39 @@
 	return true
 }
 
-// orphanGrace is how long a job continues after its sender's connection has broken, so
-// that the sender can fetch the answer over a new connection.
-const orphanGrace = 400 * time.Millisecond
+// unreadGrace is how long an attempt waits for a slot after its sender's connection has
+// broken.
+const unreadGrace = 400 * time.Millisecond
 
-// release detaches a reader from a job. A job that has no reader after orphanGrace is
-// revoked.
+// release detaches a reader from a job. After unreadGrace without a reader, an attempt
+// that has not started is withdrawn, so that its sender can try another node. A run
+// continues, because its sender resumes the attempt until the deadline and revokes it if
+// the caller leaves.
 func (n *Node) release(j *job) {
 	n.pacer.uncommit(j.uncommit(math.MaxInt))
 	if !j.detach() {
 		return
 	}
-	time.AfterFunc(orphanGrace, func() {
-		if j.orphaned() {
-			n.revoke(j.attempt, errUnread)
-		}
-	})
+	time.AfterFunc(unreadGrace, func() { n.withdrawUnread(j) })
+}
+
+// withdrawUnread refuses a job that has no reader and waits for a slot. It cancels a run
+// whose answer no reader can receive whole any more.
+func (n *Node) withdrawUnread(j *job) {
+	n.schedMu.Lock()
+	defer n.schedMu.Unlock()
+	if !j.unread() {
+		return
+	}
+	if state, queued := n.scheduler.Withdraw(j.attempt); queued {
+		n.scheduler = state
+		j.append(declined(cyclam.ReasonCancelled, 0), true)
+		return
+	}
+	if !j.resumable() {
+		n.meters.countCancelledRun(errUnread)
+		j.cancel(errUnread)
+	}
 }
 
 // answerRetention is how long the answer of an ended job is retained for a sender whose
