Keep an answer for as long as its sender may ask for it

What callers saw: 502 (answer-no-longer-held) for a request that its upstream had answered, or that had been refused and not run.

An ended attempt was forgotten 700 ms after its end or its last reader, while the sender resumes it until the deadline. A silent connection alone takes 950 ms to be noticed.

Of a refused attempt the id is enough: a sender that returns learns that it did not run.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -141,7 +141,7 @@
 		job: j,
 	}
 	completion, rest, err := a.collect(ctx, source, func() {
-		j.markDelivered()
+		j.settle()
 		a.node.release(j)
 	})
 	if err != nil {
--- a/proxy/job.go
+++ b/proxy/job.go
@@ -36,8 +36,9 @@
 	committed int
 	ended     bool
 	endedAt   time.Time
-	// delivered is set once a reader has read the last reply.
-	delivered bool
+	// settled is set once no reader needs the replies any more: the last one has been
+	// read, or the sender has revoked the attempt.
+	settled bool
 	// readers is the number of streams that read the job; unreadSince is when the last
 	// one left.
 	readers     int
@@ -151,7 +152,7 @@
 			return ready, nil
 		}
 		if j.ended {
-			j.delivered = true
+			j.settled = true
 			j.mu.Unlock()
 			return nil, nil
 		}
@@ -165,19 +166,18 @@
 	}
 }
 
-// markDelivered records that a reader on this node has read the last reply, if the job
-// has ended.
-func (j *job) markDelivered() {
+// settle records that no reader needs the replies any more.
+func (j *job) settle() {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.delivered = j.ended
+	j.settled = true
 }
 
-// wasDelivered reports whether a reader has read the last reply.
-func (j *job) wasDelivered() bool {
+// isSettled reports whether no reader needs the replies any more.
+func (j *job) isSettled() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return j.delivered
+	return j.settled
 }
 
 // attach adds a reader.
@@ -240,10 +240,3 @@
 	j.committed -= bytes
 	return bytes
 }
-
-// done returns when the job ended, and true if it has ended and has no readers.
-func (j *job) done() (time.Time, bool) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return j.endedAt, j.ended && j.readers == 0
-}
--- a/proxy/meters.go
+++ b/proxy/meters.go
@@ -4,7 +4,6 @@
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
-	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 )
 
@@ -49,15 +48,6 @@
 	metrics.GetOrRegisterCounter("requests-"+v.Outcome.String(), m.registry).Inc(1)
 }
 
-// countCancelledRun counts a run that is cancelled for cause.
-func (m meters) countCancelledRun(cause error) {
-	if errors.Is(cause, errUnread) {
-		m.cancelledUnread.Inc(1)
-		return
-	}
-	m.cancelledRevoked.Inc(1)
-}
-
 // countStoreCall counts a call to the platform's store by operation and result.
 func (m meters) countStoreCall(call string, err error) {
 	result := "ok"
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -106,7 +106,7 @@
 		return &wire.CancelReply{}, nil
 	}
 	return &wire.CancelReply{
-		Confirmed: p.node.revoke(attempt, errRevoked),
+		Confirmed: p.node.revoke(attempt),
 	}, nil
 }
 
--- a/proxy/revoke.go
+++ b/proxy/revoke.go
@@ -19,7 +19,7 @@
 func (a *attempt) revoke() {
 	if a.target.Endpoint.Identity == a.node.self {
 		if id, err := codec.DecodeAttempt(a.offer.Attempt); err == nil {
-			a.node.revoke(id, errRevoked)
+			a.node.revoke(id)
 		}
 		return
 	}
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -287,9 +287,9 @@
 	}}}
 }
 
-// revoke cancels an attempt for cause. It returns true if the attempt has not started and
-// never will.
-func (n *Node) revoke(attempt cyclam.AttemptID, cause error) bool {
+// revoke cancels an attempt whose sender needs no answer. It returns true if the attempt
+// has not started and never will.
+func (n *Node) revoke(attempt cyclam.AttemptID) bool {
 	n.schedMu.Lock()
 	defer n.schedMu.Unlock()
 	j, known := n.jobs[attempt]
@@ -300,12 +300,13 @@
 		n.fences.revoked.add(attempt)
 		return true
 	}
+	j.settle()
 	state, queued := n.scheduler.Withdraw(attempt)
 	if !queued {
 		if !j.hasEnded() {
-			n.meters.countCancelledRun(cause)
+			n.meters.cancelledRevoked.Inc(1)
 		}
-		j.cancel(cause)
+		j.cancel(errRevoked)
 		return false
 	}
 	n.scheduler = state
@@ -343,39 +344,11 @@
 		return
 	}
 	if !j.resumable() {
-		n.meters.countCancelledRun(errUnread)
+		n.meters.cancelledUnread.Inc(1)
 		j.cancel(errUnread)
 	}
 }
 
-// answerRetention is how long the answer of an ended job is retained for a sender whose
-// connection broke.
-const answerRetention = 700 * time.Millisecond
-
-// expireJobs discards the answers of jobs without readers that ended more than
-// answerRetention ago. Their attempt ids are kept in the discarded set so that they
-// don't run again.
-func (n *Node) expireJobs(now time.Time) {
-	n.schedMu.Lock()
-	defer n.schedMu.Unlock()
-	for attempt, j := range n.jobs {
-		if at, done := j.done(); done && now.Sub(at) > answerRetention {
-			n.discard(attempt, j)
-		}
-	}
-	n.fences.revoked.rotate(now)
-	n.fences.discarded.rotate(now)
-}
-
-// discard removes an ended job and its answer. The caller holds schedMu.
-func (n *Node) discard(attempt cyclam.AttemptID, j *job) {
-	delete(n.jobs, attempt)
-	n.fences.discarded.add(attempt)
-	if !j.wasDelivered() {
-		n.meters.discardedUnread.Inc(1)
-	}
-}
-
 func (n *Node) jobFields(j *job) []any {
 	return []any{
 		"id", j.offer.Id,
