Report why a node of the test cluster ended

TestChangeReachesAllNodes failed once (a condition not met within 10 s, load average 18) and six runs after it passed at the same load; the output did not tell which condition, nor whether a node had failed to start, since the error of Run was dropped. A node that ends by itself now fails its test with the error.

--- a/proxy/cluster_test.go
+++ b/proxy/cluster_test.go
@@ -95,7 +95,9 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = n.Run(ctx)
+		if err := n.Run(ctx); err != nil && ctx.Err() == nil {
+			s.t.Errorf("node %s: %v", n.Settings.Self.Instance, err)
+		}
 	}()
 	stop := func() {
 		cancel()
