--- a/proxy/node.go
+++ b/proxy/node.go
@@ -20,6 +20,7 @@
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
 )
 
 // Node is one sidecar proxy. Set its exported fields before calling Run.
@@ -48,6 +49,7 @@
 	// grace is the time between Stop and the kill, in nanoseconds.
 	grace  atomic.Int64
 	server *http.Server
+	peers  *grpc.Server
 
 	current       atomic.Pointer[router.Table]
 	configHistory configHistory
@@ -208,74 +210,6 @@
 	}
 }
 
-const (
-	// deregisterDelay is how long the platform keeps sending new callers after the
-	// readiness check has failed.
-	deregisterDelay = 2500 * time.Millisecond
-	// peerGrace is how long a stopping node still accepts attempts from other nodes.
-	// It is shorter than deregisterDelay because callers keep arriving for longer
-	// and the local upstream keeps running for them.
-	peerGrace = 1200 * time.Millisecond
-	// exitMargin is kept free between the planned exit and the kill.
-	exitMargin = 700 * time.Millisecond
-	// exitPoll is the interval at which a stopping node checks whether it has drained.
-	exitPoll = 50 * time.Millisecond
-)
-
-// Stop shuts the node down gracefully. After a short period it accepts nothing
-// more from other nodes; callers are served until the platform has redirected
-// them, and work in flight completes. Stop returns when the process may exit.
-func (n *Node) Stop(ctx context.Context) {
-	if !n.prepared.Load() || !n.stopping.CompareAndSwap(false, true) {
-		return
-	}
-	began := time.Now()
-	grace := time.Duration(n.grace.Load())
-	exitAt := began.Add(grace - exitMargin)
-	closeAt := began.Add(peerGrace)
-	n.exitAt.Store(&exitAt)
-	n.closeAt.Store(&closeAt)
-	time.AfterFunc(peerGrace, n.requestEntryWrite)
-	n.Log.Info("stop-begun", "grace", grace)
-	for time.Since(began) < deregisterDelay || !n.drained() && time.Now().Before(exitAt) {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(exitPoll):
-		}
-	}
-	ctx, cancel := context.WithDeadline(ctx, exitAt)
-	defer cancel()
-	err := n.server.Shutdown(ctx)
-	n.deleteEntry(ctx)
-	n.Log.Info("node-stopped", "after", time.Since(began), "callers-in-flight", n.callersInFlight.Load(), "error", err)
-}
-
-// closedToPeers reports whether a stopping node no longer accepts attempts from
-// other nodes.
-func (n *Node) closedToPeers(now time.Time) bool {
-	closeAt := n.closeAt.Load()
-	return closeAt != nil && !now.Before(*closeAt)
-}
-
-// outlastsProcess reports whether a request with this timeout may still run when
-// the process exits. Until the platform has had time to notice the stop, all
-// requests are accepted.
-func (n *Node) outlastsProcess(now time.Time, timeout time.Duration) bool {
-	exitAt := n.exitAt.Load()
-	closeAt := n.closeAt.Load()
-	if exitAt == nil || closeAt == nil || now.Before(closeAt.Add(deregisterDelay-peerGrace)) {
-		return false
-	}
-	return now.Add(timeout).After(*exitAt)
-}
-
-func (n *Node) drained() bool {
-	n.schedMu.Lock()
-	defer n.schedMu.Unlock()
-	return n.callersInFlight.Load() == 0 && !n.scheduler.Busy()
-}
-
 // serveCallers runs the HTTP server for callers until the context ends.
 func (n *Node) serveCallers(ctx context.Context, group *errgroup.Group, listener net.Listener) {
 	idle := &idleConns{
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -21,7 +21,7 @@
 
 // servePeers runs the gRPC server for other nodes until the context ends.
 func (n *Node) servePeers(ctx context.Context, group *errgroup.Group, listener net.Listener) {
-	server := grpc.NewServer(
+	n.peers = grpc.NewServer(
 		grpc.MaxRecvMsgSize(maxMessageSize),
 		grpc.InitialWindowSize(windowSize),
 		grpc.InitialConnWindowSize(windowSize),
@@ -29,15 +29,15 @@
 		grpc.WriteBufferSize(bufferSize),
 		grpc.SharedWriteBuffer(true),
 	)
-	wire.RegisterDoorServer(server, &peerServer{
+	wire.RegisterDoorServer(n.peers, &peerServer{
 		node: n,
 	})
 	group.Go(func() error {
-		return cyclam.AtStep("serve other nodes", listener.Addr().String(), server.Serve(listener))
+		return cyclam.AtStep("serve other nodes", listener.Addr().String(), n.peers.Serve(listener))
 	})
 	group.Go(func() error {
 		<-ctx.Done()
-		server.Stop()
+		n.peers.Stop()
 		return nil
 	})
 }
