Give each test process of proxy a loopback address of its own

Cause: freeAddress chooses a port by opening and closing a listener; a test process beside it can take the port before the node opens it. Seen beside other tests: "node door: listen for other nodes at 127.0.0.1:45847: bind: address already in use", which failed a test of the pacer after 10 s. The failure of TestChangeReachesAllNodes after 10 s fits it, but its output did not tell.

Nodes of a test now listen on an address derived from the process id.

--- a/proxy/cluster_test.go
+++ b/proxy/cluster_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -68,9 +69,13 @@
 	return s
 }
 
+// loopback is an address of this test process alone, so that tests running beside it
+// don't take its ports between their choice and their use.
+var loopback = net.IPv4(127, byte(1+os.Getpid()>>16&0x3f), byte(os.Getpid()>>8), byte(1+os.Getpid()&0x7f)).String()
+
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", net.JoinHostPort(loopback, "0"))
 	if err != nil {
 		t.Fatal(err)
 	}
