Reconnect a broken link within 300 ms of its return

What callers saw: after an interruption of a second and a half, 504 or 502 at the deadline although the nodes could reach each other again for a second.

Cause: the pause between two connects doubles up to 1 s (1.2 s with jitter), and the attempts of a link wait for it.

It is cheap: a connect is only made while an attempt, a revocation or an exchange waits for the link.

--- a/proxy/link.go
+++ b/proxy/link.go
@@ -36,6 +36,10 @@
 	connectTimeout = 350 * time.Millisecond
 	// failingConnectTimeout replaces connectTimeout if the previous connect failed.
 	failingConnectTimeout = 60 * time.Millisecond
+	// maxConnectPause bounds the pause between two connects of a broken link. Attempts
+	// and revocations wait for it, and a revocation must arrive within half a second of
+	// the link's return.
+	maxConnectPause = 250 * time.Millisecond
 	// silenceTimeout is how long a link with attempts in flight may receive nothing
 	// before it is probed.
 	silenceTimeout = 350 * time.Millisecond
@@ -81,7 +85,7 @@
 				BaseDelay:  100 * time.Millisecond,
 				Multiplier: 1.6,
 				Jitter:     0.2,
-				MaxDelay:   time.Second,
+				MaxDelay:   maxConnectPause,
 			},
 			MinConnectTimeout: time.Second,
 		}),
