--- a/proxy/job.go
+++ b/proxy/job.go
@@ -19,7 +19,8 @@
 	arrived  time.Time
 	deadline time.Time
 	ctx      context.Context
-	cancel   context.CancelFunc
+	// cancel ends the run with a cause, which is logged.
+	cancel context.CancelCauseFunc
 
 	mu      sync.Mutex
 	log     []*wire.Reply
@@ -35,14 +36,26 @@
 	committed int
 	ended     bool
 	endedAt   time.Time
-	// readers is the number of streams that read the job.
-	readers int
+	// settled is set once no reader needs the replies any more: the last one has been
+	// read, or the sender has revoked the attempt.
+	settled bool
+	// readers is the number of streams that read the job; unreadSince is when the last
+	// one left.
+	readers     int
+	unreadSince time.Time
 }
 
 // answerBufferLimit is the most bytes of an answer that are buffered for reading again.
 // A longer answer is streamed at the reader's pace.
 const answerBufferLimit = 1 << 20
 
+// Causes for which a run is cancelled.
+var (
+	errEnded   = errors.New("run has ended")
+	errRevoked = errors.New("revoked by the sender")
+	errUnread  = errors.New("no reader")
+)
+
 var errNotRetained = errors.New("start of the answer is no longer buffered")
 
 func newJob(ctx context.Context, offer *wire.Offer, attempt cyclam.AttemptID, now time.Time) *job {
@@ -54,7 +67,12 @@
 		deadline: now.Add(remaining),
 		wake:     make(chan struct{}),
 	}
-	j.ctx, j.cancel = context.WithDeadline(ctx, j.deadline)
+	ctx, stopTimer := context.WithDeadline(ctx, j.deadline)
+	ctx, cancel := context.WithCancelCause(ctx)
+	j.ctx, j.cancel = ctx, func(cause error) {
+		cancel(cause)
+		stopTimer()
+	}
 	return j
 }
 
@@ -82,7 +100,8 @@
 }
 
 // throttle drops replies that have been read and blocks while more than
-// answerBufferLimit bytes are unread.
+// answerBufferLimit bytes are unread. Without a reader nothing is dropped, so that the
+// job can be resumed.
 func (j *job) throttle() error {
 	for {
 		j.mu.Lock()
@@ -90,7 +109,7 @@
 			j.mu.Unlock()
 			return nil
 		}
-		for j.buffered > answerBufferLimit && j.dropped < j.read {
+		for j.readers > 0 && j.buffered > answerBufferLimit && j.dropped < j.read {
 			j.buffered -= len(j.log[0].GetChunk())
 			j.log = j.log[1:]
 			j.dropped++
@@ -133,6 +152,7 @@
 			return ready, nil
 		}
 		if j.ended {
+			j.settled = true
 			j.mu.Unlock()
 			return nil, nil
 		}
@@ -146,6 +166,20 @@
 	}
 }
 
+// settle records that no reader needs the replies any more.
+func (j *job) settle() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.settled = true
+}
+
+// isSettled reports whether no reader needs the replies any more.
+func (j *job) isSettled() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.settled
+}
+
 // attach adds a reader.
 func (j *job) attach() {
 	j.mu.Lock()
@@ -159,19 +193,44 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.readers--
+	j.unreadSince = time.Now()
 	if j.ended {
-		j.endedAt = time.Now()
+		j.endedAt = j.unreadSince
 	}
 	return j.readers == 0 && !j.ended
 }
 
-// orphaned reports whether the job is still running without a reader.
-func (j *job) orphaned() bool {
+// unreadFor returns how long the job has had no reader; zero if it has one.
+func (j *job) unreadFor(now time.Time) time.Duration {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.readers > 0 || j.unreadSince.IsZero() {
+		return 0
+	}
+	return now.Sub(j.unreadSince)
+}
+
+// hasEnded reports whether the final reply is in the log.
+func (j *job) hasEnded() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.ended
+}
+
+// unread reports whether the job has not ended and has no reader.
+func (j *job) unread() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	return j.readers == 0 && !j.ended
 }
 
+// resumable reports whether a new reader can still read all replies.
+func (j *job) resumable() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.dropped == 0
+}
+
 // uncommit removes up to bytes from the job's committed bytes and returns how many were
 // removed.
 func (j *job) uncommit(bytes int) int {
@@ -181,10 +240,3 @@
 	j.committed -= bytes
 	return bytes
 }
-
-// done returns when the job ended, and true if it has ended and has no readers.
-func (j *job) done() (time.Time, bool) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return j.endedAt, j.ended && j.readers == 0
-}
--- a/proxy/meters.go
+++ b/proxy/meters.go
@@ -14,19 +14,28 @@
 	hedges      metrics.Counter
 	budgetSpent metrics.Counter
 	resets      metrics.Counter
-	requests    metrics.Timer
-	run         metrics.Timer
+	// cancelledRevoked and cancelledUnread count the runs cancelled by their sender and
+	// for lack of a reader; discardedUnread counts the answers discarded before a reader
+	// had read them.
+	cancelledRevoked metrics.Counter
+	cancelledUnread  metrics.Counter
+	discardedUnread  metrics.Counter
+	requests         metrics.Timer
+	run              metrics.Timer
 }
 
 func newMeters(r metrics.Registry) meters {
 	return meters{
-		registry:    r,
-		resends:     metrics.GetOrRegisterCounter("attempts-resent", r),
-		hedges:      metrics.GetOrRegisterCounter("attempts-hedged", r),
-		budgetSpent: metrics.GetOrRegisterCounter("retry-budget-spent", r),
-		resets:      metrics.GetOrRegisterCounter("links-reset", r),
-		requests:    metrics.GetOrRegisterTimer("request", r),
-		run:         metrics.GetOrRegisterTimer("upstream-run", r),
+		registry:         r,
+		resends:          metrics.GetOrRegisterCounter("attempts-resent", r),
+		hedges:           metrics.GetOrRegisterCounter("attempts-hedged", r),
+		budgetSpent:      metrics.GetOrRegisterCounter("retry-budget-spent", r),
+		resets:           metrics.GetOrRegisterCounter("links-reset", r),
+		cancelledRevoked: metrics.GetOrRegisterCounter("runs-cancelled-revoked", r),
+		cancelledUnread:  metrics.GetOrRegisterCounter("runs-cancelled-unread", r),
+		discardedUnread:  metrics.GetOrRegisterCounter("answers-discarded-unread", r),
+		requests:         metrics.GetOrRegisterTimer("request", r),
+		run:              metrics.GetOrRegisterTimer("upstream-run", r),
 	}
 }
 
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -154,7 +154,7 @@
 		n.recordAnswerBytes(j.offer.Route, sink.bytes)
 	}
 	j.append(last, true)
-	j.cancel()
+	j.cancel(errEnded)
 	n.decide(func(s sched.State) (sched.State, []sched.Decision) { return s.End(time.Now(), run) })
 }
 
@@ -222,7 +222,13 @@
 		run.Failed = true
 	}
 	if reason != "" {
-		n.Log.Warn("run-without-answer", append(n.jobFields(j), "reason", reason, "took", took, "error", err)...)
+		n.Log.Warn("run-without-answer", append(n.jobFields(j),
+			"reason", reason,
+			"took", took,
+			"cause", context.Cause(j.ctx),
+			"unread-for", j.unreadFor(time.Now()),
+			"error", err,
+		)...)
 	}
 	return run, ended(reason)
 }
@@ -281,8 +287,8 @@
 	}}}
 }
 
-// revoke cancels an attempt. It returns true if the attempt has not started and never
-// will.
+// revoke cancels an attempt whose sender needs no answer. It returns true if the attempt
+// has not started and never will.
 func (n *Node) revoke(attempt cyclam.AttemptID) bool {
 	n.schedMu.Lock()
 	defer n.schedMu.Unlock()
@@ -294,9 +300,13 @@
 		n.fences.revoked.add(attempt)
 		return true
 	}
+	j.settle()
 	state, queued := n.scheduler.Withdraw(attempt)
 	if !queued {
-		j.cancel()
+		if !j.hasEnded() {
+			n.meters.cancelledRevoked.Inc(1)
+		}
+		j.cancel(errRevoked)
 		return false
 	}
 	n.scheduler = state
@@ -304,42 +314,39 @@
 	return true
 }
 
-// orphanGrace is how long a job continues after its sender's connection has broken, so
-// that the sender can fetch the answer over a new connection.
-const orphanGrace = 400 * time.Millisecond
+// unreadGrace is how long an attempt waits for a slot after its sender's connection has
+// broken.
+const unreadGrace = 400 * time.Millisecond
 
-// release detaches a reader from a job. A job that has no reader after orphanGrace is
-// revoked.
+// release detaches a reader from a job. After unreadGrace without a reader, an attempt
+// that has not started is withdrawn, so that its sender can try another node. A run
+// continues, because its sender resumes the attempt until the deadline and revokes it if
+// the caller leaves.
 func (n *Node) release(j *job) {
 	n.pacer.uncommit(j.uncommit(math.MaxInt))
 	if !j.detach() {
 		return
 	}
-	time.AfterFunc(orphanGrace, func() {
-		if j.orphaned() {
-			n.revoke(j.attempt)
-		}
-	})
+	time.AfterFunc(unreadGrace, func() { n.withdrawUnread(j) })
 }
 
-// answerRetention is how long the answer of an ended job is retained for a sender whose
-// connection broke.
-const answerRetention = 700 * time.Millisecond
-
-// expireJobs discards the answers of jobs without readers that ended more than
-// answerRetention ago. Their attempt ids are kept in the discarded set so that they
-// don't run again.
-func (n *Node) expireJobs(now time.Time) {
+// withdrawUnread refuses a job that has no reader and waits for a slot. It cancels a run
+// whose answer no reader can receive whole any more.
+func (n *Node) withdrawUnread(j *job) {
 	n.schedMu.Lock()
 	defer n.schedMu.Unlock()
-	for attempt, j := range n.jobs {
-		if at, done := j.done(); done && now.Sub(at) > answerRetention {
-			delete(n.jobs, attempt)
-			n.fences.discarded.add(attempt)
-		}
+	if !j.unread() {
+		return
+	}
+	if state, queued := n.scheduler.Withdraw(j.attempt); queued {
+		n.scheduler = state
+		j.append(declined(cyclam.ReasonCancelled, 0), true)
+		return
+	}
+	if !j.resumable() {
+		n.meters.cancelledUnread.Inc(1)
+		j.cancel(errUnread)
 	}
-	n.fences.revoked.rotate(now)
-	n.fences.discarded.rotate(now)
 }
 
 func (n *Node) jobFields(j *job) []any {
