Resume an attempt without sending its request again

What callers saw: where links are reset because they are full, interrupted requests with bodies kept them full.

Cause: a resumed attempt carried the whole request. The upstream's node needs none of it: it joins the job that it has, or refuses the attempt.

Evidence: TestResumedAttemptSendsNoBody sent 200,714 bytes after the cut for a body of 200,000 before, and passes now (at most 100,000 allowed).

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -96,7 +96,8 @@
 				suspect: true,
 			}
 		}
-		a.offer.Resume = true
+		// The node has the request, or refuses the attempt.
+		a.offer.Resume, a.offer.Body, a.offer.Headers = true, nil, nil
 		a.offer.RemainingUs = time.Until(a.deadline).Microseconds()
 		select {
 		case <-ctx.Done():
