Replace a connection on which a revocation gets no answer

What callers saw: nothing, but work for a caller that had left went on until its deadline (rule GONE) when the connection to the upstream's node was dead.

Cause: a revocation waited up to 1 s over whatever connection the link held, and with no attempt in flight nothing probed that link.

--- a/proxy/revoke.go
+++ b/proxy/revoke.go
@@ -40,18 +40,26 @@
 	}()
 }
 
-// requestRevoke sends one request that revokes the attempt.
+// requestRevoke sends one request that revokes the attempt. A connection on which
+// nothing is received meanwhile is taken for dead and replaced.
 func (a *attempt) requestRevoke(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, revokeTimeout)
 	defer cancel()
-	conn, err := a.node.link(a.target.Endpoint.Control).connect(ctx)
+	l := a.node.link(a.target.Endpoint.Control)
+	conn, err := l.connect(ctx)
 	if err != nil {
 		return err
 	}
+	replied := make(chan struct{})
+	go l.awaitReply(ctx, conn, replied, a.ackLimit())
 	_, err = wire.NewDoorClient(conn).Revoke(ctx, &wire.CancelRequest{
 		Attempt:     a.offer.Attempt,
 		Instance:    a.offer.Instance,
 		Incarnation: a.offer.Incarnation,
 	})
-	return cyclam.AtStep("revoke", a.target.Endpoint.Control, err)
+	close(replied)
+	if err == nil {
+		l.markReceived()
+	}
+	return cyclam.AtStep("revoke", l.address, err)
 }
