--- a/bench/watch.go
+++ b/bench/watch.go
@@ -70,7 +70,7 @@
 		}
 	}
 	ready()
-	from := list.Revision
+	from := list.Position
 	for ctx.Err() == nil {
 		changes, err := client.Watch(ctx, from, watchWait, cyclam.OperatorKinds()...)
 		if err != nil {
@@ -80,7 +80,7 @@
 			time.Sleep(100 * time.Millisecond)
 			continue
 		}
-		from = changes.Revision
+		from = changes.Position
 		for _, event := range changes.Events {
 			bytes.Add(int64(len(event.Object.Spec)) + eventOverhead)
 			if resource, problems := conf.Parse(event.Object); len(problems) == 0 {
--- a/commit/commit_test.go
+++ b/commit/commit_test.go
@@ -50,14 +50,14 @@
 	service := cyclam.Object{
 		Kind:     cyclam.KindService,
 		Name:     "stockview",
-		Revision: 1,
+		Position: cyclam.AtRevision(1),
 		Spec:     json.RawMessage(`{}`),
 	}
 	effects := f.reduce(cyclam.ObjectsListed{
 		Stamp: at(0),
 		List: cyclam.ObjectList{
 			Objects:  []cyclam.Object{service},
-			Revision: 1,
+			Position: cyclam.AtRevision(1),
 		},
 	})
 	write, ok := find[cyclam.WriteVersion](effects)
@@ -124,14 +124,14 @@
 	other := cyclam.Object{
 		Kind:     cyclam.KindService,
 		Name:     "cutorder",
-		Revision: 2,
+		Position: cyclam.AtRevision(2),
 		Spec:     json.RawMessage(`{}`),
 	}
 	effects := f.reduce(cyclam.ObjectsListed{
 		Stamp: at(0),
 		List: cyclam.ObjectList{
 			Objects:  []cyclam.Object{other},
-			Revision: 2,
+			Position: cyclam.AtRevision(2),
 		},
 	})
 	second, _ := find[cyclam.WriteVersion](effects)
@@ -190,14 +190,14 @@
 	bad := cyclam.Object{
 		Kind:     cyclam.KindRoute,
 		Name:     "bad",
-		Revision: 3,
+		Position: cyclam.AtRevision(3),
 		Spec:     json.RawMessage(`{"path-prefix":"/x","service":"none"}`),
 	}
 	change := cyclam.ObjectChanges{
 		Events: []cyclam.ObjectEvent{{
 			Object: bad,
 		}},
-		Revision: 3,
+		Position: cyclam.AtRevision(3),
 	}
 	count := 0
 	for _, from := range []uint64{1, 3, 3} {
--- a/error.go
+++ b/error.go
@@ -10,6 +10,9 @@
 	ErrUnavailable = errors.New("platform unavailable")
 	// ErrCompacted means that a watch starts at a revision that is no longer held.
 	ErrCompacted = errors.New("watch start is no longer held")
+	// ErrStaleEra means that the store has returned from an older copy since the
+	// position in the call was read. The caller has to read again first.
+	ErrStaleEra = errors.New("position is of an older era of the store")
 	// ErrInvalid means that the platform refused a request as malformed.
 	ErrInvalid = errors.New("request refused as invalid")
 )
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -101,7 +101,7 @@
 	return cyclam.Object{
 		Kind:     cyclam.KindClaim,
 		Name:     c.Name,
-		Revision: c.revision,
+		Position: cyclam.AtRevision(c.revision),
 		Spec:     spec,
 	}
 }
--- a/node/platform.go
+++ b/node/platform.go
@@ -78,7 +78,7 @@
 	err := n.Platform.Delete(context.WithoutCancel(n.ctx), cyclam.Key{
 		Kind: cyclam.KindClaim,
 		Name: e.Name,
-	}, e.Revision)
+	}, cyclam.AtRevision(e.Revision))
 	if n.countPlatformCall(err) != nil {
 		n.Log.Warn("claim-not-dropped", "claim", e.Name, "error", err)
 	}
@@ -162,7 +162,7 @@
 	object, err := n.Platform.Put(n.ctx, cyclam.Object{
 		Kind:     cyclam.KindHead,
 		Name:     cyclam.HeadName,
-		Revision: e.Revision,
+		Position: cyclam.AtRevision(e.Revision),
 		Spec:     spec,
 	})
 	if n.countPlatformCall(err) != nil {
@@ -205,7 +205,7 @@
 			Kind: cyclam.KindChunk,
 			Name: name,
 		}
-		_ = n.countPlatformCall(n.Platform.Delete(n.ctx, key, revision))
+		_ = n.countPlatformCall(n.Platform.Delete(n.ctx, key, cyclam.AtRevision(revision)))
 	}
 }
 
@@ -220,7 +220,7 @@
 
 func (n *Node) watchObjects(e cyclam.WatchObjects) {
 	n.meters.watchesWaiting.Inc(1)
-	changes, err := n.Platform.Watch(n.ctx, e.From, watchTimeout, cyclam.OperatorKinds()...)
+	changes, err := n.Platform.Watch(n.ctx, cyclam.AtRevision(e.From), watchTimeout, cyclam.OperatorKinds()...)
 	n.meters.watchesWaiting.Dec(1)
 	n.dispatch(cyclam.ObjectsChanged{
 		Stamp:   stamp(),
--- a/node/status_writer.go
+++ b/node/status_writer.go
@@ -128,7 +128,7 @@
 	object := cyclam.Object{
 		Kind:     cyclam.KindStatus,
 		Name:     name,
-		Revision: s.revisions[name],
+		Position: cyclam.AtRevision(s.revisions[name]),
 		Spec:     spec,
 	}
 	stored, err := s.platform.Put(ctx, object)
--- a/oper/delete.go
+++ b/oper/delete.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return err
 	}
-	revisions, err := checkDelete(list.Objects, keys)
+	positions, err := checkDelete(list.Objects, keys)
 	if err != nil {
 		return err
 	}
@@ -45,7 +45,7 @@
 		return err
 	}
 	for _, key := range keys {
-		if err := platform.Delete(ctx, key, revisions[key]); err != nil {
+		if err := platform.Delete(ctx, key, positions[key]); err != nil {
 			return err
 		}
 		fmt.Fprintf(a.Out, "%s deleted\n", key)
@@ -74,20 +74,20 @@
 	return keys, nil
 }
 
-// checkDelete returns the stored revision of each object, by key. It returns an error
+// checkDelete returns the stored position of each object, by key. It returns an error
 // if an object to be deleted does not exist or if a remaining object refers to it.
-func checkDelete(stored []cyclam.Object, keys []cyclam.Key) (map[cyclam.Key]uint64, error) {
-	revisions := map[cyclam.Key]uint64{}
+func checkDelete(stored []cyclam.Object, keys []cyclam.Key) (map[cyclam.Key]cyclam.Position, error) {
+	positions := map[cyclam.Key]cyclam.Position{}
 	set := conf.NewSet()
 	for _, object := range stored {
-		revisions[object.Key()] = object.Revision
+		positions[object.Key()] = object.Position
 		if resource, faults := conf.Parse(object); len(faults) == 0 {
 			set = set.With(resource)
 		}
 	}
 	before := len(set.Check())
 	for _, key := range keys {
-		if revisions[key] == 0 {
+		if positions[key].IsZero() {
 			return nil, errors.Wrap(cyclam.ErrNotFound, key.String())
 		}
 		set = set.Without(key)
@@ -95,5 +95,5 @@
 	if problems := set.Check(); len(problems) > before {
 		return nil, refusedError(problems)
 	}
-	return revisions, nil
+	return positions, nil
 }
--- a/oper/watch.go
+++ b/oper/watch.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		return err
 	}
-	from := list.Revision
+	from := list.Position
 	for {
 		changes, err := platform.Watch(ctx, from, a.watchTimeout(ctx), kinds...)
 		if ctx.Err() != nil {
@@ -49,7 +49,7 @@
 		if err != nil {
 			return err
 		}
-		from = changes.Revision
+		from = changes.Position
 		for _, event := range changes.Events {
 			if err := a.printEvent(c, event); err != nil {
 				return err
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -58,13 +58,13 @@
 	}, nil
 }
 
-// ownEntry is the last known stored entry of this node. A zero revision means that
+// ownEntry is the last known stored entry of this node. A zero position means that
 // there is none; listed is set once the store has been read.
 type ownEntry struct {
-	mu       sync.Mutex
-	listed   bool
-	revision uint64
-	stored   entry
+	mu     sync.Mutex
+	listed bool
+	at     cyclam.Position
+	stored entry
 }
 
 // endpoint returns the current endpoint of this node and its stored form.
@@ -112,7 +112,7 @@
 	n.entry.mu.Lock()
 	n.entry.listed = true
 	if !listed[n.self.Instance] {
-		n.entry.revision, n.entry.stored = 0, entry{}
+		n.entry.at, n.entry.stored = cyclam.Position{}, entry{}
 	}
 	n.entry.mu.Unlock()
 	n.requestEntryWrite()
@@ -127,11 +127,11 @@
 		}
 	}
 	n.entry.mu.Lock()
-	first := n.entry.revision == 0
-	if e.Object.Revision >= n.entry.revision {
-		n.entry.stored, n.entry.revision = stored, e.Object.Revision
+	first := n.entry.at.IsZero()
+	if e.Object.Revision >= n.entry.at.Revision {
+		n.entry.stored, n.entry.at = stored, e.Object.Position
 		if e.Deleted {
-			n.entry.revision = 0
+			n.entry.at = cyclam.Position{}
 		}
 	}
 	n.entry.mu.Unlock()
@@ -176,7 +176,7 @@
 func (n *Node) writeEntry(ctx context.Context) error {
 	_, want := n.endpoint()
 	n.entry.mu.Lock()
-	listed, revision, stored := n.entry.listed, n.entry.revision, n.entry.stored
+	listed, at, stored := n.entry.listed, n.entry.at, n.entry.stored
 	n.entry.mu.Unlock()
 	if !listed || stored == want {
 		return nil
@@ -188,7 +188,7 @@
 	put, err := n.Platform.Put(ctx, cyclam.Object{
 		Kind:     cyclam.KindEndpoint,
 		Name:     string(n.self.Instance),
-		Revision: revision,
+		Position: at,
 		Spec:     spec,
 	})
 	n.meters.countStoreCall("put", err)
@@ -197,7 +197,7 @@
 		return err
 	}
 	n.entry.mu.Lock()
-	n.entry.revision, n.entry.stored = put.Revision, want
+	n.entry.at, n.entry.stored = put.Position, want
 	n.entry.mu.Unlock()
 	n.Log.Info("entry-written", "state", want.State, "revision", put.Revision)
 	return nil
@@ -210,9 +210,9 @@
 func (n *Node) deleteEntry(ctx context.Context) {
 	_, own := n.endpoint()
 	n.entry.mu.Lock()
-	revision := n.entry.revision
+	at := n.entry.at
 	n.entry.mu.Unlock()
-	if !own.Leaving || revision == 0 {
+	if !own.Leaving || at.IsZero() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, deleteTimeout)
@@ -220,7 +220,7 @@
 	err := n.Platform.Delete(ctx, cyclam.Key{
 		Kind: cyclam.KindEndpoint,
 		Name: string(n.self.Instance),
-	}, revision)
+	}, at)
 	n.meters.countStoreCall("delete", err)
 	n.Log.Info("entry-deleted", "error", err)
 }
@@ -236,7 +236,7 @@
 	defer n.entry.mu.Unlock()
 	switch {
 	case errors.Is(err, cyclam.ErrNotFound):
-		n.entry.revision, n.entry.stored = 0, entry{}
+		n.entry.at, n.entry.stored = cyclam.Position{}, entry{}
 	case err != nil:
 		n.Log.Warn("own-entry-unread", "error", err)
 	default:
@@ -244,6 +244,6 @@
 		if err := json.Unmarshal(object.Spec, &stored); err != nil {
 			n.Log.Warn("own-entry-unreadable", "error", err)
 		}
-		n.entry.revision, n.entry.stored = object.Revision, stored
+		n.entry.at, n.entry.stored = object.Position, stored
 	}
 }
--- a/proxy/fleet.go
+++ b/proxy/fleet.go
@@ -12,8 +12,8 @@
 // member is the view of one other node.
 type member struct {
 	view picker.Candidate
-	// revision is that of the stored entry that was applied last.
-	revision uint64
+	// at is the position of the stored entry that was applied last.
+	at cyclam.Position
 	// failures is the number of consecutive failed connects; unreachableSince is the
 	// time of the first one.
 	failures         int
@@ -48,14 +48,14 @@
 	}
 }
 
-// updateFromStore applies a stored entry, unless one with the same or a later revision
+// updateFromStore applies a stored entry, unless one with the same or a later position
 // has been applied.
-func (f *fleet) updateFromStore(e cyclam.Endpoint, revision uint64) {
+func (f *fleet) updateFromStore(e cyclam.Endpoint, at cyclam.Position) {
 	m, ok := f.members[e.Instance]
-	if ok && revision <= m.revision {
+	if ok && at.Revision <= m.at.Revision {
 		return
 	}
-	f.upsert(e).revision = revision
+	f.upsert(e).at = at
 }
 
 // updateFromSelf applies an endpoint that the node itself has sent.
@@ -210,20 +210,20 @@
 	if after <= 0 {
 		return
 	}
-	lost := map[cyclam.InstanceName]uint64{}
+	lost := map[cyclam.InstanceName]cyclam.Position{}
 	n.mu.Lock()
 	for name, m := range n.fleet.members {
-		if !m.unreachableSince.IsZero() && now.Sub(m.unreachableSince) > after && m.revision > 0 {
-			lost[name] = m.revision
+		if !m.unreachableSince.IsZero() && now.Sub(m.unreachableSince) > after && !m.at.IsZero() {
+			lost[name] = m.at
 			m.unreachableSince = now
 		}
 	}
 	n.mu.Unlock()
-	for name, revision := range lost {
+	for name, at := range lost {
 		err := n.Platform.Delete(ctx, cyclam.Key{
 			Kind: cyclam.KindEndpoint,
 			Name: string(name),
-		}, revision)
+		}, at)
 		n.meters.countStoreCall("delete", err)
 		n.Log.Info("node-forgotten", "peer", name, "out-of-reach", after, "error", err)
 	}
--- a/proxy/platform_test.go
+++ b/proxy/platform_test.go
@@ -101,7 +101,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	list := cyclam.ObjectList{
-		Revision: m.revision,
+		Position: cyclam.AtRevision(m.revision),
 	}
 	for key, o := range m.objects {
 		if key.Kind == kinds[0] {
@@ -135,7 +135,7 @@
 	m.changed = make(chan struct{})
 }
 
-func (m *memPlatform) Delete(_ context.Context, key cyclam.Key, _ uint64) error {
+func (m *memPlatform) Delete(_ context.Context, key cyclam.Key, _ cyclam.Position) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	o := m.objects[key]
@@ -149,7 +149,7 @@
 	return m.checkUp()
 }
 
-func (m *memPlatform) Watch(ctx context.Context, from uint64, wait time.Duration, kinds ...cyclam.Kind) (cyclam.ObjectChanges, error) {
+func (m *memPlatform) Watch(ctx context.Context, from cyclam.Position, wait time.Duration, kinds ...cyclam.Kind) (cyclam.ObjectChanges, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	for {
@@ -159,10 +159,10 @@
 			return cyclam.ObjectChanges{}, err
 		}
 		changes := cyclam.ObjectChanges{
-			Revision: m.revision,
+			Position: cyclam.AtRevision(m.revision),
 		}
 		for _, e := range m.events {
-			if e.Object.Revision > from && e.Object.Kind == kinds[0] {
+			if from.Before(e.Object.Position) && e.Object.Kind == kinds[0] {
 				changes.Events = append(changes.Events, e)
 			}
 		}
@@ -188,12 +188,12 @@
 	}
 	key := testDialect{}.ConfigKey()
 	m.mu.Lock()
-	revision := m.objects[key].Revision
+	at := m.objects[key].Position
 	m.mu.Unlock()
 	if _, err := m.Put(t.Context(), cyclam.Object{
 		Kind:     key.Kind,
 		Name:     key.Name,
-		Revision: revision,
+		Position: at,
 		Spec:     spec,
 	}); err != nil {
 		t.Fatal(err)
--- a/proxy/propagation_test.go
+++ b/proxy/propagation_test.go
@@ -269,13 +269,13 @@
 }
 
 // Watch waits for the given time and returns no change.
-func (w *watchRecorder) Watch(ctx context.Context, from uint64, wait time.Duration, _ ...cyclam.Kind) (cyclam.ObjectChanges, error) {
+func (w *watchRecorder) Watch(ctx context.Context, from cyclam.Position, wait time.Duration, _ ...cyclam.Kind) (cyclam.ObjectChanges, error) {
 	w.waits = append(w.waits, wait)
 	if !sleep(ctx, wait) {
 		return cyclam.ObjectChanges{}, ctx.Err()
 	}
 	return cyclam.ObjectChanges{
-		Revision: from,
+		Position: from,
 	}, nil
 }
 
--- a/proxy/store.go
+++ b/proxy/store.go
@@ -76,7 +76,7 @@
 		failures, lost = 0, false
 		f.onList(list)
 		f.notifyResponse()
-		err = f.watch(ctx, list.Revision)
+		err = f.watch(ctx, list.Position)
 		if err != nil && ctx.Err() == nil {
 			f.node.Log.Warn("watch-ended", "kind", f.kind, "error", err)
 			lost = !errors.Is(err, cyclam.ErrCompacted) && !errors.Is(err, errWatchBehind)
@@ -93,8 +93,8 @@
 	return list, err
 }
 
-// watch follows changes from a revision on until a call fails.
-func (f *storeWatcher) watch(ctx context.Context, from uint64) error {
+// watch follows changes from a position on until a call fails.
+func (f *storeWatcher) watch(ctx context.Context, from cyclam.Position) error {
 	var changedAt time.Time
 	for {
 		changes, err := f.watchOnce(ctx, from)
@@ -106,7 +106,7 @@
 			f.onChange(e)
 		}
 		f.notifyResponse()
-		from = changes.Revision
+		from = changes.Position
 		if len(changes.Events) == 0 {
 			continue
 		}
@@ -123,18 +123,18 @@
 }
 
 // pollObject reads the object at onlyKey until it stops changing and returns its last
-// revision.
-func (f *storeWatcher) pollObject(ctx context.Context, from uint64) (uint64, error) {
+// position.
+func (f *storeWatcher) pollObject(ctx context.Context, from cyclam.Position) (cyclam.Position, error) {
 	for {
 		object, err := f.node.Platform.Get(ctx, *f.onlyKey)
 		f.node.meters.countStoreCall("get", err)
 		if err != nil {
 			return from, err
 		}
-		if object.Revision <= from {
+		if object.Revision <= from.Revision {
 			return from, nil
 		}
-		from = object.Revision
+		from = object.Position
 		f.onChange(cyclam.ObjectEvent{
 			Object: object,
 		})
@@ -161,7 +161,7 @@
 }
 
 // watchOnce makes one watch call, which checkWatch may cancel.
-func (f *storeWatcher) watchOnce(ctx context.Context, from uint64) (cyclam.ObjectChanges, error) {
+func (f *storeWatcher) watchOnce(ctx context.Context, from cyclam.Position) (cyclam.ObjectChanges, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if f.checkWatch != nil {
@@ -232,7 +232,7 @@
 		return
 	}
 	n.mu.Lock()
-	n.fleet.updateFromStore(endpoint, e.Object.Revision)
+	n.fleet.updateFromStore(endpoint, e.Object.Position)
 	n.mu.Unlock()
 	n.Log.Info("node-seen", "peer", name, "state", endpoint.State.String(), "revision", e.Object.Revision)
 }
--- a/simnet/platform_test.go
+++ b/simnet/platform_test.go
@@ -86,7 +86,7 @@
 			return s.Delete(ctx, cyclam.Key{
 				Kind: cyclam.KindClaim,
 				Name: e.Name,
-			}, e.Revision)
+			}, cyclam.AtRevision(e.Revision))
 		}, func(error) {})
 	case cyclam.ReadVersion:
 		var head cyclam.Head
@@ -188,7 +188,7 @@
 	head := cyclam.Object{
 		Kind:     cyclam.KindHead,
 		Name:     cyclam.HeadName,
-		Revision: e.Revision,
+		Position: cyclam.AtRevision(e.Revision),
 		Spec:     spec,
 	}
 	w.callPlatform(p, func(s *objapi.Store) error {
@@ -225,7 +225,7 @@
 		if !p.alive {
 			return
 		}
-		changes, err := w.store.Watch(context.Background(), e.From, 0, cyclam.OperatorKinds()...)
+		changes, err := w.store.Watch(context.Background(), cyclam.AtRevision(e.From), 0, cyclam.OperatorKinds()...)
 		failed := w.platformDown || w.partitioned(p.state.Tree.Self.Locality, locality(0)) || w.chance(0.01)
 		if failed {
 			changes, err = cyclam.ObjectChanges{}, cyclam.ErrUnavailable
--- a/simnet/scenario_test.go
+++ b/simnet/scenario_test.go
@@ -172,7 +172,7 @@
 			Name: name,
 		}
 		if stored, err := w.store.Get(context.Background(), key); err == nil {
-			_ = w.store.Delete(context.Background(), key, stored.Revision)
+			_ = w.store.Delete(context.Background(), key, stored.Position)
 		}
 	case "race":
 		stale, _ := w.store.Get(context.Background(), cyclam.Key{
@@ -240,7 +240,7 @@
 		resource, problems := conf.Parse(o)
 		route, isRoute := resource.(cyclam.Route)
 		if len(problems) > 0 || isRoute && !exists["service/"+string(route.Service)] {
-			_ = w.store.Delete(context.Background(), o.Key(), o.Revision)
+			_ = w.store.Delete(context.Background(), o.Key(), o.Position)
 			continue
 		}
 		o.Change = nil
--- a/stand/objapi/server.go
+++ b/stand/objapi/server.go
@@ -147,7 +147,7 @@
 	case isObject && ctx.IsDelete():
 		s.writes.Add(1)
 		revision, _ := strconv.ParseUint(string(ctx.QueryArgs().Peek("revision")), 10, 64)
-		writeReply(ctx, struct{}{}, s.Store.Delete(ctx, key, revision))
+		writeReply(ctx, struct{}{}, s.Store.Delete(ctx, key, cyclam.AtRevision(revision)))
 	default:
 		ctx.Error("no such path", fasthttp.StatusBadRequest)
 	}
@@ -159,7 +159,7 @@
 	s.watches.Add(1)
 	s.waiting.Add(1)
 	defer s.waiting.Add(-1)
-	changes, err := s.Store.Watch(ctx, from, wait, kinds...)
+	changes, err := s.Store.Watch(ctx, cyclam.AtRevision(from), wait, kinds...)
 	writeReply(ctx, changes, err)
 }
 
--- a/stand/objapi/store.go
+++ b/stand/objapi/store.go
@@ -57,7 +57,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := cyclam.ObjectList{
-		Revision: s.revision,
+		Position: cyclam.AtRevision(s.revision),
 	}
 	for key, object := range s.objects {
 		if slices.Contains(kinds, key.Kind) {
@@ -87,16 +87,16 @@
 	return object, nil
 }
 
-// Delete removes an object if the stored revision equals the given one. It returns
+// Delete removes an object if the stored position equals the given one. It returns
 // ErrNotFound or ErrConflict otherwise.
-func (s *Store) Delete(_ context.Context, key cyclam.Key, revision uint64) error {
+func (s *Store) Delete(_ context.Context, key cyclam.Key, at cyclam.Position) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	object, ok := s.objects[key]
 	if !ok {
 		return cyclam.ErrNotFound
 	}
-	if object.Revision != revision {
+	if object.Position != at {
 		return cyclam.ErrConflict
 	}
 	s.revision++
@@ -120,14 +120,14 @@
 	s.changed = make(chan struct{})
 }
 
-// Watch returns the changes after revision from as soon as there are any, or none
+// Watch returns the changes after position from as soon as there are any, or none
 // after wait. It returns ErrCompacted if the history no longer reaches back to
 // from.
-func (s *Store) Watch(ctx context.Context, from uint64, wait time.Duration, kinds ...cyclam.Kind) (cyclam.ObjectChanges, error) {
+func (s *Store) Watch(ctx context.Context, from cyclam.Position, wait time.Duration, kinds ...cyclam.Kind) (cyclam.ObjectChanges, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		changes, changed, err := s.changesSince(from, kinds)
+		changes, changed, err := s.changesSince(from.Revision, kinds)
 		if err != nil || len(changes.Events) > 0 {
 			return changes, err
 		}
@@ -145,7 +145,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	changes := cyclam.ObjectChanges{
-		Revision: s.revision,
+		Position: cyclam.AtRevision(s.revision),
 	}
 	if len(s.history) > 0 && from+1 < s.history[0].revision {
 		return changes, nil, cyclam.ErrCompacted
--- a/store/store.go
+++ b/store/store.go
@@ -82,19 +82,19 @@
 	return stored, cyclam.AtStep("put "+object.Key().String(), s.Address, err)
 }
 
-// Delete removes an object if its stored revision equals revision, and returns
+// Delete removes an object if its stored revision equals that of at, and returns
 // cyclam.ErrConflict otherwise.
-func (s *Store) Delete(ctx context.Context, key cyclam.Key, revision uint64) error {
-	path := objectPath(key) + "?revision=" + strconv.FormatUint(revision, 10)
+func (s *Store) Delete(ctx context.Context, key cyclam.Key, at cyclam.Position) error {
+	path := objectPath(key) + "?revision=" + strconv.FormatUint(at.Revision, 10)
 	err := s.call(ctx, s.Timeout, fasthttp.MethodDelete, path, nil, nil)
 	return cyclam.AtStep("delete "+key.String(), s.Address, err)
 }
 
-// Watch returns the changes of the given kinds after revision from, or none once
+// Watch returns the changes of the given kinds after position from, or none once
 // wait has passed.
-func (s *Store) Watch(ctx context.Context, from uint64, wait time.Duration, kinds ...cyclam.Kind) (cyclam.ObjectChanges, error) {
+func (s *Store) Watch(ctx context.Context, from cyclam.Position, wait time.Duration, kinds ...cyclam.Kind) (cyclam.ObjectChanges, error) {
 	path := "/v1/watch?kinds=" + joinKinds(kinds) +
-		"&from=" + strconv.FormatUint(from, 10) +
+		"&from=" + strconv.FormatUint(from.Revision, 10) +
 		"&wait=" + wait.String()
 	var changes cyclam.ObjectChanges
 	err := s.call(ctx, wait+watchSlack, fasthttp.MethodGet, path, nil, &changes)
