Order stored entries by era and revision, and by what nodes say themselves

Cause: a node ordered entries by revision alone. After the store had returned from a copy it took newer entries for older ones until the revisions had caught up, removed every node whose entry the copy lacked, and raised nodes that had left.

Change: lists and changes are applied in the order of their positions, those of an older era are dropped. In the first list of a new era an entry may come from the copy: it raises no process that was seen to leave or to be replaced (the node is asked itself), and it does not change the state of a process whose later state is known. Entries get a sequence within an incarnation for this; builds without it are judged by position. A node whose entry is missing is kept for 2.5 s and then gone.

Why it works: only entries up to the position of the first list can come from the copy, so that every later one is known to be a fresh write and goes by its position, as within one era.

--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -23,6 +23,8 @@
 	// that process has been withdrawn. A restarting node reads both.
 	Upstream string `json:"upstream"`
 	Leaving  bool   `json:"leaving"`
+	// Sequence orders the entries of one incarnation; zero if an older build wrote it.
+	Sequence uint64 `json:"sequence,omitempty"`
 }
 
 var entryStates = map[string]cyclam.EndpointState{
@@ -47,8 +49,9 @@
 			Instance:    cyclam.InstanceName(o.Name),
 			Incarnation: cyclam.Incarnation(e.Incarnation),
 		},
-		State:   state,
-		Service: cyclam.ServiceName(e.Service),
+		Sequence: e.Sequence,
+		State:    state,
+		Service:  cyclam.ServiceName(e.Service),
 		Locality: cyclam.Locality{
 			Region:     cyclam.Region(e.Region),
 			DataCentre: cyclam.DataCentre(e.DataCentre),
@@ -65,6 +68,8 @@
 	listed bool
 	at     cyclam.Position
 	stored entry
+	// announced is the last result of Node.endpoint.
+	announced entry
 }
 
 // endpoint returns the current endpoint of this node and its stored form.
@@ -85,7 +90,7 @@
 	default:
 		e.State = cyclam.EndpointDown
 	}
-	return e, entry{
+	announced := n.entry.announce(entry{
 		Incarnation: uint64(e.Incarnation),
 		State:       e.State.String(),
 		Service:     string(e.Service),
@@ -95,7 +100,21 @@
 		Slots:       e.Slots,
 		Upstream:    up.id,
 		Leaving:     up.leaving,
+	})
+	e.Sequence = announced.Sequence
+	return e, announced
+}
+
+// announce returns the entry with its sequence, which rises with each change.
+func (o *ownEntry) announce(e entry) entry {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	e.Sequence = o.announced.Sequence
+	if e != o.announced {
+		e.Sequence++
+		o.announced = e
 	}
+	return e
 }
 
 // requestEntryWrite wakes runEntryWriter.
@@ -106,12 +125,12 @@
 	}
 }
 
-// applyListedNames records that the store has been read. If it holds no entry of this
-// node, the next write creates one.
-func (n *Node) applyListedNames(listed map[cyclam.InstanceName]bool) {
+// applyListedNames records that the store has been read at this position. If it holds no
+// entry of this node, the next write creates one.
+func (n *Node) applyListedNames(listed map[cyclam.InstanceName]bool, at cyclam.Position) {
 	n.entry.mu.Lock()
 	n.entry.listed = true
-	if !listed[n.self.Instance] {
+	if !listed[n.self.Instance] && !at.Before(n.entry.at) {
 		n.entry.at, n.entry.stored = cyclam.Position{}, entry{}
 	}
 	n.entry.mu.Unlock()
@@ -128,7 +147,7 @@
 	}
 	n.entry.mu.Lock()
 	first := n.entry.at.IsZero()
-	if e.Object.Revision >= n.entry.at.Revision {
+	if !e.Object.Position.Before(n.entry.at) {
 		n.entry.stored, n.entry.at = stored, e.Object.Position
 		if e.Deleted {
 			n.entry.at = cyclam.Position{}
@@ -197,7 +216,9 @@
 		return err
 	}
 	n.entry.mu.Lock()
-	n.entry.at, n.entry.stored = put.Position, want
+	if n.entry.at.Before(put.Position) {
+		n.entry.at, n.entry.stored = put.Position, want
+	}
 	n.entry.mu.Unlock()
 	n.Log.Info("entry-written", "state", want.State, "revision", put.Revision)
 	return nil
@@ -244,6 +265,8 @@
 		if err := json.Unmarshal(object.Spec, &stored); err != nil {
 			n.Log.Warn("own-entry-unreadable", "error", err)
 		}
-		n.entry.at, n.entry.stored = object.Position, stored
+		if n.entry.at.Before(object.Position) {
+			n.entry.at, n.entry.stored = object.Position, stored
+		}
 	}
 }
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -69,7 +69,7 @@
 	defer n.mu.Unlock()
 	if k.Self != nil {
 		if e, err := codec.DecodeEndpoint(k.Self); err == nil && e.Instance != n.self.Instance {
-			n.fleet.updateFromSelf(e)
+			n.fleet.updateFromSelf(e, time.Now())
 		}
 	}
 	for _, w := range k.Endpoints {
--- a/proxy/fleet.go
+++ b/proxy/fleet.go
@@ -14,6 +14,8 @@
 	view picker.Candidate
 	// at is the position of the stored entry that was applied last.
 	at cyclam.Position
+	// spokeAt is the time of the last message of the node about itself.
+	spokeAt time.Time
 	// failures is the number of consecutive failed connects; unreachableSince is the
 	// time of the first one.
 	failures         int
@@ -39,6 +41,7 @@
 	members map[cyclam.InstanceName]*member
 	// known is set once the store or another node has provided the list of nodes.
 	known bool
+	store storeView
 }
 
 func newFleet(self cyclam.Endpoint) fleet {
@@ -48,23 +51,22 @@
 	}
 }
 
-// updateFromStore applies a stored entry, unless one with the same or a later position
-// has been applied.
-func (f *fleet) updateFromStore(e cyclam.Endpoint, at cyclam.Position) {
+// updateFromSelf applies an endpoint that the node itself has sent, unless the same
+// process has announced a later one.
+func (f *fleet) updateFromSelf(e cyclam.Endpoint, now time.Time) {
 	m, ok := f.members[e.Instance]
-	if ok && at.Revision <= m.at.Revision {
-		return
+	if !ok || m.view.Endpoint.Incarnation != e.Incarnation || m.view.Endpoint.Sequence <= e.Sequence {
+		m = f.upsert(e)
 	}
-	f.upsert(e).at = at
+	m.spokeAt = now
 }
 
-// updateFromSelf applies an endpoint that the node itself has sent.
-func (f *fleet) updateFromSelf(e cyclam.Endpoint) { f.upsert(e) }
-
 // addFromPeer adds an endpoint that a third node has sent, unless the endpoint's node
-// is already known.
+// is already known or its process was seen to end.
 func (f *fleet) addFromPeer(e cyclam.Endpoint) {
-	if _, ok := f.members[e.Instance]; !ok {
+	_, known := f.members[e.Instance]
+	_, ended := f.store.ended[e.Identity]
+	if !known && !ended {
 		f.upsert(e)
 	}
 }
@@ -77,6 +79,12 @@
 		m = &member{}
 		f.members[e.Instance] = m
 	}
+	if ok && m.view.Endpoint.Identity != e.Identity {
+		f.store.noteEnded(m.view.Endpoint.Identity, time.Now())
+	}
+	if e.State != cyclam.EndpointGone {
+		delete(f.store.ended, e.Identity)
+	}
 	if !ok || m.view.Endpoint.Identity != e.Identity || m.view.Endpoint.Control != e.Control {
 		m.view = picker.Candidate{
 			RTT:     picker.InitialRTT(f.self.Locality, e.Locality),
@@ -98,7 +106,12 @@
 }
 
 // remove drops a node whose entry was deleted from the store.
-func (f *fleet) remove(name cyclam.InstanceName) { delete(f.members, name) }
+func (f *fleet) remove(name cyclam.InstanceName, now time.Time) {
+	if m, ok := f.members[name]; ok {
+		f.store.noteEnded(m.view.Endpoint.Identity, now)
+		delete(f.members, name)
+	}
+}
 
 // candidates returns the nodes that run an upstream of a service.
 func (f *fleet) candidates(service cyclam.ServiceName) []picker.Candidate {
@@ -127,12 +140,16 @@
 	}
 	m.view.Load = decodeLoad(l)
 	if inc := cyclam.Incarnation(l.Incarnation); inc != 0 && inc != m.view.Endpoint.Incarnation {
+		n.fleet.store.noteEnded(m.view.Endpoint.Identity, time.Now())
 		m.view.Endpoint.Incarnation = inc
+		delete(n.fleet.store.ended, m.view.Endpoint.Identity)
+		m.view.Endpoint.Sequence = 0
 		m.view.Endpoint.State = cyclam.EndpointReady
 		n.Log.Info("node-restarted", "peer", name, "incarnation", inc)
 		go n.link(m.view.Endpoint.Control).resync()
 	}
 	m.view.LoadAt = time.Now()
+	m.spokeAt = m.view.LoadAt
 	m.view.InFlight = 0
 	m.failures = 0
 	m.unreachableSince = time.Time{}
@@ -193,7 +210,7 @@
 	defer n.mu.Unlock()
 	m, ok := n.fleet.members[name]
 	switch {
-	case !ok:
+	case !ok || m.view.Endpoint.State == cyclam.EndpointGone:
 	case err != nil:
 		m.exchangeFailedAt = time.Now()
 	default:
@@ -213,7 +230,7 @@
 	lost := map[cyclam.InstanceName]cyclam.Position{}
 	n.mu.Lock()
 	for name, m := range n.fleet.members {
-		if !m.unreachableSince.IsZero() && now.Sub(m.unreachableSince) > after && !m.at.IsZero() {
+		if !m.unreachableSince.IsZero() && now.Sub(m.unreachableSince) > after && n.fleet.store.accepts(m.at) && !m.at.IsZero() {
 			lost[name] = m.at
 			m.unreachableSince = now
 		}
@@ -242,5 +259,11 @@
 func (n *Node) nodeCount() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return len(n.fleet.members) + 1
+	count := 1
+	for _, m := range n.fleet.members {
+		if m.view.Endpoint.State != cyclam.EndpointGone {
+			count++
+		}
+	}
+	return count
 }
--- a/proxy/platform_test.go
+++ b/proxy/platform_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -58,11 +59,11 @@
 
 // memPlatform is an in-memory cyclam.Platform.
 type memPlatform struct {
-	mu       sync.Mutex
-	objects  map[cyclam.Key]cyclam.Object
-	events   []cyclam.ObjectEvent
-	revision uint64
-	changed  chan struct{}
+	mu      sync.Mutex
+	objects map[cyclam.Key]cyclam.Object
+	events  []cyclam.ObjectEvent
+	at      cyclam.Position
+	changed chan struct{}
 	// down makes every call fail with cyclam.ErrUnavailable. muteWatches makes watches
 	// time out without reporting events.
 	down        atomic.Bool
@@ -71,9 +72,9 @@
 
 func newMemPlatform() *memPlatform {
 	return &memPlatform{
-		objects:  map[cyclam.Key]cyclam.Object{},
-		revision: 1,
-		changed:  make(chan struct{}),
+		objects: map[cyclam.Key]cyclam.Object{},
+		at:      cyclam.AtRevision(1),
+		changed: make(chan struct{}),
 	}
 }
 
@@ -101,7 +102,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	list := cyclam.ObjectList{
-		Position: cyclam.AtRevision(m.revision),
+		Position: m.at,
 	}
 	for key, o := range m.objects {
 		if key.Kind == kinds[0] {
@@ -117,11 +118,14 @@
 	if err := m.checkUp(); err != nil {
 		return o, err
 	}
+	if o.Era < m.at.Era && !o.Position.IsZero() {
+		return o, cyclam.ErrStaleEra
+	}
 	if stored := m.objects[o.Key()]; stored.Revision != o.Revision {
 		return stored, cyclam.ErrConflict
 	}
-	m.revision++
-	o.Revision = m.revision
+	m.at.Revision++
+	o.Position = m.at
 	m.objects[o.Key()] = o
 	m.record(cyclam.ObjectEvent{
 		Object: o,
@@ -135,13 +139,19 @@
 	m.changed = make(chan struct{})
 }
 
-func (m *memPlatform) Delete(_ context.Context, key cyclam.Key, _ cyclam.Position) error {
+func (m *memPlatform) Delete(_ context.Context, key cyclam.Key, at cyclam.Position) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	o := m.objects[key]
+	switch {
+	case at.Era < m.at.Era:
+		return cyclam.ErrStaleEra
+	case o.Revision != at.Revision:
+		return cyclam.ErrConflict
+	}
 	delete(m.objects, key)
-	m.revision++
-	o.Revision = m.revision
+	m.at.Revision++
+	o.Position = m.at
 	m.record(cyclam.ObjectEvent{
 		Object:  o,
 		Deleted: true,
@@ -158,8 +168,12 @@
 			m.mu.Unlock()
 			return cyclam.ObjectChanges{}, err
 		}
+		if from.Era < m.at.Era {
+			m.mu.Unlock()
+			return cyclam.ObjectChanges{}, cyclam.ErrStaleEra
+		}
 		changes := cyclam.ObjectChanges{
-			Position: cyclam.AtRevision(m.revision),
+			Position: m.at,
 		}
 		for _, e := range m.events {
 			if from.Before(e.Object.Position) && e.Object.Kind == kinds[0] {
@@ -179,6 +193,39 @@
 	}
 }
 
+// snapshot is what a store held at some time.
+type snapshot struct {
+	at      cyclam.Position
+	objects map[cyclam.Key]cyclam.Object
+}
+
+func (m *memPlatform) snapshot() snapshot {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return snapshot{
+		at:      m.at,
+		objects: maps.Clone(m.objects),
+	}
+}
+
+// restore replaces the store by a copy of what it held earlier and starts a new era.
+func (m *memPlatform) restore(s snapshot) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.at = cyclam.Position{
+		Era:      m.at.Era + 1,
+		Revision: s.at.Revision,
+	}
+	m.objects = map[cyclam.Key]cyclam.Object{}
+	for key, o := range s.objects {
+		o.Era = m.at.Era
+		m.objects[key] = o
+	}
+	m.events = nil
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
 // apply stores c as the current configuration.
 func (m *memPlatform) apply(t testing.TB, c cyclam.Config) {
 	t.Helper()
--- a/proxy/store.go
+++ b/proxy/store.go
@@ -131,7 +131,7 @@
 		if err != nil {
 			return from, err
 		}
-		if object.Revision <= from.Revision {
+		if !from.Before(object.Position) {
 			return from, nil
 		}
 		from = object.Position
@@ -188,8 +188,16 @@
 }
 
 // applyFleetList applies a complete list of the entries and removes nodes that are not
-// in it.
+// in it. A list of an older era than the last one is dropped.
 func (n *Node) applyFleetList(list cyclam.ObjectList) {
+	n.mu.Lock()
+	before := n.fleet.store.latest
+	newEra, ok := n.fleet.store.startList(list.Position, time.Now())
+	n.mu.Unlock()
+	if !ok {
+		n.Log.Debug("list-dropped", "era", list.Era, "known", before.Era)
+		return
+	}
 	listed := map[cyclam.InstanceName]bool{}
 	for _, o := range list.Objects {
 		listed[cyclam.InstanceName(o.Name)] = true
@@ -198,30 +206,63 @@
 		})
 	}
 	n.mu.Lock()
-	for name := range n.fleet.members {
-		if !listed[name] {
-			n.fleet.remove(name)
-		}
-	}
+	n.fleet.removeUnlisted(listed, time.Now())
+	missing := len(n.fleet.store.missing)
 	first := !n.fleet.known
 	n.fleet.known = true
 	count := len(n.fleet.members)
 	n.mu.Unlock()
-	n.applyListedNames(listed)
+	n.applyListedNames(listed, list.Position)
 	if first {
 		n.Log.Info("fleet-known", "source", "store", "nodes", count)
 	}
+	if newEra {
+		n.Log.Info("store-era-changed",
+			"old", before.Era,
+			"new", list.Era,
+			"revision-before", before.Revision,
+			"revision-after", list.Revision,
+			"missing", missing,
+			"own-entry-listed", listed[n.self.Instance],
+		)
+		time.AfterFunc(missingGrace, func() { n.removeMissing(list.Era) })
+	}
+}
+
+// removeMissing removes the nodes whose entries have not come back in an era.
+func (n *Node) removeMissing(era uint64) {
+	n.mu.Lock()
+	gone := n.fleet.removeMissing(era, time.Now())
+	n.mu.Unlock()
+	for _, name := range gone {
+		n.Log.Info("node-gone", "peer", name, "cause", "entry missing after the store's return")
+	}
+}
+
+// confirm asks a node whether it runs, because only a copy of the store says so.
+func (n *Node) confirm(name cyclam.InstanceName) {
+	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
+	defer cancel()
+	err := n.exchangeWith(ctx, name)
+	n.Log.Info("node-doubted", "peer", name, "error", err)
 }
 
 func (n *Node) applyFleetEvent(e cyclam.ObjectEvent) {
 	name := cyclam.InstanceName(e.Object.Name)
+	n.mu.Lock()
+	current := n.fleet.store.accepts(e.Object.Position)
+	n.mu.Unlock()
+	if !current {
+		n.Log.Debug("change-dropped", "peer", name, "era", e.Object.Era)
+		return
+	}
 	if name == n.self.Instance {
 		n.applyOwnEntry(e)
 		return
 	}
 	if e.Deleted {
 		n.mu.Lock()
-		n.fleet.remove(name)
+		n.fleet.remove(name, time.Now())
 		n.mu.Unlock()
 		n.Log.Info("node-gone", "peer", name)
 		return
@@ -232,7 +273,11 @@
 		return
 	}
 	n.mu.Lock()
-	n.fleet.updateFromStore(endpoint, e.Object.Position)
+	doubtful := n.fleet.updateFromStore(endpoint, e.Object.Position, time.Now())
 	n.mu.Unlock()
+	if doubtful {
+		go n.confirm(name)
+		return
+	}
 	n.Log.Info("node-seen", "peer", name, "state", endpoint.State.String(), "revision", e.Object.Revision)
 }
--- /dev/null
+++ b/proxy/storeview.go
@@ -0,0 +1,164 @@
+package proxy
+
+import (
+	"time"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
+)
+
+const (
+	// missingGrace is how long an entry that is missing after the store's return from
+	// a copy may take to be written again.
+	missingGrace = 2500 * time.Millisecond
+	// recentWord is how long a node's own word about its process goes before an entry
+	// that may come from a copy.
+	recentWord = 2 * time.Second
+	// endedKept is how long a process is known to have ended. It is longer than the age
+	// of any copy from which the store returns.
+	endedKept = 10 * time.Minute
+)
+
+// storeView is what the fleet's view has taken from the store.
+type storeView struct {
+	listed bool
+	// latest is the highest position of a list or change that was applied.
+	latest cyclam.Position
+	// copied is the position of the first list after the store's return from a copy.
+	// An entry up to it may be older than what was known before. It is zero if the
+	// store has not returned from one.
+	copied cyclam.Position
+	// missing holds the nodes whose entries that list lacked; until keepUntil they are
+	// kept.
+	missing   map[cyclam.InstanceName]bool
+	keepUntil time.Time
+	// ended holds the processes that were seen to leave or to be replaced.
+	ended map[cyclam.Identity]ending
+}
+
+// ending is the era and the time in which the end of a process was seen.
+type ending struct {
+	era uint64
+	at  time.Time
+}
+
+// startList prepares for the entries of a list. It reports whether the list starts a new
+// era; ok is false if the list is of an older era and must be dropped.
+func (v *storeView) startList(at cyclam.Position, now time.Time) (newEra, ok bool) {
+	switch {
+	case !v.listed:
+		v.listed = true
+	case at.Era < v.latest.Era:
+		return false, false
+	case at.Era > v.latest.Era:
+		newEra = true
+		v.copied = at
+		v.keepUntil = now.Add(missingGrace)
+		v.missing = map[cyclam.InstanceName]bool{}
+	}
+	v.advance(at)
+	return newEra, true
+}
+
+// accepts reports whether a change at this position belongs to the era of the last list.
+// A change of a newer era needs a list first.
+func (v *storeView) accepts(at cyclam.Position) bool { return at.Era == v.latest.Era }
+
+func (v *storeView) advance(at cyclam.Position) {
+	if v.latest.Before(at) {
+		v.latest = at
+	}
+}
+
+// mayBeCopied reports whether an entry at this position may come from the copy from
+// which the store has returned.
+func (v *storeView) mayBeCopied(at cyclam.Position) bool {
+	return at.Era == v.copied.Era && !v.copied.Before(at) && !v.copied.IsZero()
+}
+
+// noteEnded records that a process has left or was replaced.
+func (v *storeView) noteEnded(process cyclam.Identity, now time.Time) {
+	if v.ended == nil {
+		v.ended = map[cyclam.Identity]ending{}
+	}
+	for p, e := range v.ended {
+		if now.Sub(e.at) > endedKept {
+			delete(v.ended, p)
+		}
+	}
+	v.ended[process] = ending{
+		era: v.latest.Era,
+		at:  now,
+	}
+}
+
+// endedBefore reports whether a process was seen to end in an era before that of at.
+func (v *storeView) endedBefore(process cyclam.Identity, at cyclam.Position) bool {
+	e, ok := v.ended[process]
+	return ok && e.era < at.Era
+}
+
+// updateFromStore applies a stored entry, unless one at the same or a later position has
+// been applied. An entry that may come from a copy changes nothing that was known to be
+// newer: if its process was seen to end, doubtful is true and the node is not picked
+// until it answers or writes its entry again.
+func (f *fleet) updateFromStore(e cyclam.Endpoint, at cyclam.Position, now time.Time) (doubtful bool) {
+	m, known := f.members[e.Instance]
+	if known && !m.at.Before(at) {
+		return false
+	}
+	f.store.advance(at)
+	copied := f.store.mayBeCopied(at)
+	switch ended := copied && f.store.endedBefore(e.Identity, at); {
+	case ended && !known:
+		m = f.upsert(e.WithState(cyclam.EndpointGone))
+		m.unreachableSince = now
+		m.at = at
+		return true
+	case known && (ended || f.outdated(m, e, copied, now)):
+		m.at = at
+		return false
+	}
+	f.upsert(e).at = at
+	return false
+}
+
+// outdated reports whether what is known of a node is newer than its stored entry e.
+// Entries without a sequence are of an older build.
+func (f *fleet) outdated(m *member, e cyclam.Endpoint, copied bool, now time.Time) bool {
+	held := m.view.Endpoint
+	if held.Incarnation != e.Incarnation {
+		return copied && now.Sub(m.spokeAt) < recentWord
+	}
+	return copied && e.Sequence <= held.Sequence || e.Sequence != 0 && e.Sequence < held.Sequence
+}
+
+// removeUnlisted removes the nodes that are not in a complete list. A node whose entry
+// the copy lacks is kept until removeMissing.
+func (f *fleet) removeUnlisted(listed map[cyclam.InstanceName]bool, now time.Time) {
+	for name, m := range f.members {
+		switch {
+		case listed[name]:
+		case m.at.Era < f.store.latest.Era && now.Before(f.store.keepUntil):
+			f.store.missing[name] = true
+		default:
+			f.remove(name, now)
+		}
+	}
+}
+
+// removeMissing removes the nodes whose entries are still missing since the store's
+// return in this era, and returns their names.
+func (f *fleet) removeMissing(era uint64, now time.Time) []cyclam.InstanceName {
+	if f.store.latest.Era != era {
+		return nil
+	}
+	var gone []cyclam.InstanceName
+	for name := range f.store.missing {
+		if m, ok := f.members[name]; ok && m.at.Era < era {
+			f.remove(name, now)
+			gone = append(gone, name)
+		}
+	}
+	f.store.missing = map[cyclam.InstanceName]bool{}
+	return gone
+}
