Read and write the store again at once when it starts a new era

Cause: a node learned of the store's return from its next failed call. A watch that had gone silent with the old era, or a retry delay of up to 1.8 s behind a call that hung, kept its entry out of the store for longer than the two seconds after which other nodes take it as gone.

Change: the exchange between nodes carries the highest era heard of (a new field; nodes of the build before neither send nor need it). A rise ends watches and retry delays, and each node lists again after a random part of 0.3 s. The entry is written again if the copy lacks it or holds another one; when it is stored, store-era-settled says so, and entries-written-again counts it.

--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -70,6 +70,10 @@
 	stored entry
 	// announced is the last result of Node.endpoint.
 	announced entry
+	// newEra is set from the first list of a new era until the entry is stored in it;
+	// eraSince is the time of that list.
+	newEra   uint64
+	eraSince time.Time
 }
 
 // endpoint returns the current endpoint of this node and its stored form.
@@ -117,6 +121,21 @@
 	return e
 }
 
+// endEraStart logs once in a new era that what this node keeps in the store is there.
+func (n *Node) endEraStart(written bool) {
+	n.entry.mu.Lock()
+	era, since := n.entry.newEra, n.entry.eraSince
+	n.entry.newEra = 0
+	n.entry.mu.Unlock()
+	if era == 0 {
+		return
+	}
+	if written {
+		n.meters.countWrittenAgain()
+	}
+	n.Log.Info("store-era-settled", "era", era, "written-again", written, "after", time.Since(since))
+}
+
 // requestEntryWrite wakes runEntryWriter.
 func (n *Node) requestEntryWrite() {
 	select {
@@ -127,9 +146,12 @@
 
 // applyListedNames records that the store has been read at this position. If it holds no
 // entry of this node, the next write creates one.
-func (n *Node) applyListedNames(listed map[cyclam.InstanceName]bool, at cyclam.Position) {
+func (n *Node) applyListedNames(listed map[cyclam.InstanceName]bool, at cyclam.Position, newEra bool) {
 	n.entry.mu.Lock()
 	n.entry.listed = true
+	if newEra {
+		n.entry.newEra, n.entry.eraSince = at.Era, time.Now()
+	}
 	if !listed[n.self.Instance] && !at.Before(n.entry.at) {
 		n.entry.at, n.entry.stored = cyclam.Position{}, entry{}
 	}
@@ -179,9 +201,10 @@
 			time.AfterFunc(remaining, n.requestEntryWrite)
 			continue
 		}
+		_, risen := n.storeEras.Current()
 		if err := n.writeEntry(ctx); err != nil {
 			n.Log.Warn("entry-not-written", "failures", failures, "error", err)
-			waitRetry(ctx, failures)
+			waitRetry(ctx, failures, risen)
 			failures++
 			n.requestEntryWrite()
 			continue
@@ -197,7 +220,11 @@
 	n.entry.mu.Lock()
 	listed, at, stored := n.entry.listed, n.entry.at, n.entry.stored
 	n.entry.mu.Unlock()
-	if !listed || stored == want {
+	if !listed {
+		return nil
+	}
+	if stored == want {
+		n.endEraStart(false)
 		return nil
 	}
 	spec, err := json.Marshal(want)
@@ -220,7 +247,8 @@
 		n.entry.at, n.entry.stored = put.Position, want
 	}
 	n.entry.mu.Unlock()
-	n.Log.Info("entry-written", "state", want.State, "revision", put.Revision)
+	n.Log.Info("entry-written", "state", want.State, "era", put.Era, "revision", put.Revision)
+	n.endEraStart(true)
 	return nil
 }
 
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -19,6 +19,7 @@
 		Version:    uint64(n.version()),
 		StoreAgeUs: n.storeAge().Microseconds(),
 	}
+	k.StoreEra, _ = n.storeEras.Current()
 	packed, base, err := n.configHistory.encodeFor(version)
 	if err != nil {
 		n.Log.Error("config-not-packed", "base", version, "error", err)
@@ -64,6 +65,9 @@
 		n.noteStoreAge(time.Duration(k.StoreAgeUs) * time.Microsecond)
 	}
 	n.noteVersion(cyclam.Version(k.Version), cyclam.InstanceName(k.Self.GetInstance()))
+	if n.storeEras.Raise(k.StoreEra) {
+		n.Log.Info("store-era-heard", "era", k.StoreEra, "peer", k.Self.GetInstance())
+	}
 	n.mergeLoads(k.Loads)
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/proxy/meters.go
+++ b/proxy/meters.go
@@ -39,6 +39,12 @@
 	metrics.GetOrRegisterCounter("requests-"+v.Outcome.String(), m.registry).Inc(1)
 }
 
+// countWrittenAgain counts an entry that was written again after the store's return from
+// a copy.
+func (m meters) countWrittenAgain() {
+	metrics.GetOrRegisterCounter("entries-written-again", m.registry).Inc(1)
+}
+
 // countStoreCall counts a call to the platform's store by operation and result.
 func (m meters) countStoreCall(call string, err error) {
 	result := "ok"
--- a/proxy/node.go
+++ b/proxy/node.go
@@ -11,6 +11,7 @@
 
 	cyclam "github.com/cyclamensaddle/cyclam"
 	"github.com/cyclamensaddle/cyclam/budget"
+	"github.com/cyclamensaddle/cyclam/eras"
 	"github.com/cyclamensaddle/cyclam/origin"
 	"github.com/cyclamensaddle/cyclam/pace"
 	"github.com/cyclamensaddle/cyclam/picker"
@@ -80,6 +81,8 @@
 	linkMu sync.Mutex
 	links  map[string]*link
 
+	// storeEras also counts the eras that other nodes report.
+	storeEras eras.Tracker
 	entry     ownEntry
 	wakeEntry chan struct{}
 }
--- a/proxy/store.go
+++ b/proxy/store.go
@@ -30,8 +30,20 @@
 	return span/2 + rand.N(span/2+1)
 }
 
-// waitRetry waits for the retry delay or until ctx ends.
-func waitRetry(ctx context.Context, failures int) { sleep(ctx, retryDelay(failures)) }
+// relistSpread is the time over which the nodes read the store again after it has
+// started a new era, so that its rates hold.
+const relistSpread = 300 * time.Millisecond
+
+// waitRetry waits for the retry delay, until ctx ends, or until a new era shows that the
+// store is back: risen is from before the failed call, which may have hung meanwhile.
+func waitRetry(ctx context.Context, failures int, risen <-chan struct{}) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(retryDelay(failures)):
+	case <-risen:
+		sleep(ctx, rand.N(relistSpread))
+	}
+}
 
 // storeWatcher lists and watches one kind of objects in the platform's store.
 type storeWatcher struct {
@@ -59,14 +71,20 @@
 func (f *storeWatcher) run(ctx context.Context) {
 	failures := 0
 	lost := false
+	heard := uint64(0)
 	for ctx.Err() == nil {
+		_, risen := f.node.storeEras.Current()
 		list, err := f.list(ctx)
+		if errors.Is(err, cyclam.ErrStaleEra) {
+			sleep(ctx, rand.N(relistSpread))
+			continue
+		}
 		if err != nil {
 			if !lost {
 				f.node.Log.Warn("store-lost", "kind", f.kind, "error", err)
 			}
 			lost = true
-			waitRetry(ctx, failures)
+			waitRetry(ctx, failures, risen)
 			failures++
 			continue
 		}
@@ -74,30 +92,52 @@
 			f.node.Log.Info("store-regained", "kind", f.kind, "failures", failures)
 		}
 		failures, lost = 0, false
+		f.node.storeEras.Raise(list.Era)
 		f.onList(list)
 		f.notifyResponse()
-		err = f.watch(ctx, list.Position)
+		var known uint64
+		known, risen = f.node.storeEras.Current()
+		if known > max(list.Era, heard) {
+			// The list may have been answered before the era began of which another node
+			// has told.
+			heard = known
+			sleep(ctx, rand.N(relistSpread))
+			continue
+		}
+		err = f.watch(ctx, list.Position, risen)
 		if err != nil && ctx.Err() == nil {
-			f.node.Log.Warn("watch-ended", "kind", f.kind, "error", err)
-			lost = !errors.Is(err, cyclam.ErrCompacted) && !errors.Is(err, errWatchBehind)
-			if lost {
-				waitRetry(ctx, 0)
-			}
+			lost = f.pauseAfterWatch(ctx, err, risen)
 		}
 	}
 }
 
+// pauseAfterWatch waits until the list may be read again after a watch has failed. It
+// reports whether the store did not answer.
+func (f *storeWatcher) pauseAfterWatch(ctx context.Context, err error, risen <-chan struct{}) bool {
+	if errors.Is(err, cyclam.ErrStaleEra) {
+		sleep(ctx, rand.N(relistSpread))
+		return false
+	}
+	f.node.Log.Warn("watch-ended", "kind", f.kind, "error", err)
+	if errors.Is(err, cyclam.ErrCompacted) || errors.Is(err, errWatchBehind) {
+		return false
+	}
+	waitRetry(ctx, 0, risen)
+	return true
+}
+
 func (f *storeWatcher) list(ctx context.Context) (cyclam.ObjectList, error) {
 	list, err := f.node.Platform.List(ctx, f.kind)
 	f.node.meters.countStoreCall("list", err)
 	return list, err
 }
 
-// watch follows changes from a position on until a call fails.
-func (f *storeWatcher) watch(ctx context.Context, from cyclam.Position) error {
+// watch follows changes from a position on until a call fails or risen, which stands for
+// a new era, is closed.
+func (f *storeWatcher) watch(ctx context.Context, from cyclam.Position, risen <-chan struct{}) error {
 	var changedAt time.Time
 	for {
-		changes, err := f.watchOnce(ctx, from)
+		changes, err := f.watchOnce(ctx, from, risen)
 		f.node.meters.countStoreCall("watch", err)
 		if err != nil {
 			return err
@@ -131,6 +171,9 @@
 		if err != nil {
 			return from, err
 		}
+		if object.Era != from.Era {
+			return from, cyclam.ErrStaleEra
+		}
 		if !from.Before(object.Position) {
 			return from, nil
 		}
@@ -160,18 +203,30 @@
 	}
 }
 
-// watchOnce makes one watch call, which checkWatch may cancel.
-func (f *storeWatcher) watchOnce(ctx context.Context, from cyclam.Position) (cyclam.ObjectChanges, error) {
+// watchOnce makes one watch call, which checkWatch or a new era may cancel.
+func (f *storeWatcher) watchOnce(ctx context.Context, from cyclam.Position, risen <-chan struct{}) (cyclam.ObjectChanges, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if f.checkWatch != nil {
 		go f.checkWatch(ctx, cancel)
 	}
+	go func() {
+		select {
+		case <-risen:
+			cancel(cyclam.ErrStaleEra)
+		case <-ctx.Done():
+		}
+	}()
 	changes, err := f.node.Platform.Watch(ctx, from, f.wait/2+rand.N(f.wait), f.kind)
-	if cause := context.Cause(ctx); err != nil && errors.Is(cause, errWatchBehind) {
+	cause := context.Cause(ctx)
+	switch {
+	case err == nil && changes.Era != from.Era:
+		return changes, cyclam.ErrStaleEra
+	case err != nil && (errors.Is(cause, errWatchBehind) || errors.Is(cause, cyclam.ErrStaleEra)):
 		return changes, cause
+	default:
+		return changes, err
 	}
-	return changes, err
 }
 
 // watchFleet keeps the view of the other nodes up to date.
@@ -212,7 +267,7 @@
 	n.fleet.known = true
 	count := len(n.fleet.members)
 	n.mu.Unlock()
-	n.applyListedNames(listed, list.Position)
+	n.applyListedNames(listed, list.Position, newEra)
 	if first {
 		n.Log.Info("fleet-known", "source", "store", "nodes", count)
 	}
