Tell apart two configurations under one version number

Cause: a configuration was known by its version alone. After the store's return from a copy the operator may write a version again with other content: nodes then kept different texts under one number, and a difference based on the number was decoded against another text than the sender's.

Change: a text is known by version, digest and the era in which it was read. Versions never go back; of two texts of one version that of the newer era is put in force, with one log line (config-version-reissued) and a counter. Knowledge carries digest and era in new fields. A difference is only sent to a node with the same text of the base, its result is checked against the digest, and a node that can't decode one asks for the whole. A node of the build before, which states no digest, gets the whole on a version that was given out again.

Why it works: the store's era rises between two texts of one number, so that all nodes order them alike, and each exchange compares what both hold.

--- a/proxy/config.go
+++ b/proxy/config.go
@@ -31,25 +31,31 @@
 	return 0
 }
 
-// applyConfig puts a configuration in force if it is newer than the current one. An
-// invalid configuration is logged and ignored.
-func (n *Node) applyConfig(spec json.RawMessage, source string) {
+// applyConfig puts a configuration in force if it is newer than the current one, or if it
+// is another text of the same version and from a newer era of the store. An invalid
+// configuration is logged and ignored.
+func (n *Node) applyConfig(spec json.RawMessage, era uint64, source string) {
 	config, err := n.Dialect.ParseConfig(spec)
 	if err != nil {
 		n.Log.Error("config-refused", "source", source, "in-force", n.version(), "error", err)
 		return
 	}
 	updated := router.New(config)
-	for {
-		old := n.current.Load()
-		if old != nil && old.Config.Version >= config.Version {
-			return
-		}
-		if n.current.CompareAndSwap(old, updated) {
-			break
-		}
+	text := newConfigText(config.Version, era, spec)
+	n.configHistory.mu.Lock()
+	before := n.configHistory.last().id
+	added := n.configHistory.add(text)
+	if added {
+		n.current.Store(updated)
+	}
+	n.configHistory.mu.Unlock()
+	if !added {
+		return
+	}
+	if before.version == config.Version {
+		n.meters.countReissued()
+		n.Log.Warn("config-version-reissued", "version", config.Version, "source", source, "old-era", before.era, "new-era", era)
 	}
-	n.configHistory.add(config.Version, spec)
 	n.Log.Info("config-in-force",
 		"version", config.Version,
 		"source", source,
--- a/proxy/configsource.go
+++ b/proxy/configsource.go
@@ -55,7 +55,7 @@
 		onResponse: func() { n.noteStoreAge(0) },
 		onChange: func(e cyclam.ObjectEvent) {
 			if e.Object.Name == key.Name && !e.Deleted {
-				n.applyConfig(e.Object.Spec, "store")
+				n.applyConfig(e.Object.Spec, e.Object.Era, "store")
 			}
 		},
 	}
@@ -90,7 +90,7 @@
 func (n *Node) applyConfigList(list cyclam.ObjectList) {
 	for _, o := range list.Objects {
 		if o.Name == n.Dialect.ConfigKey().Name {
-			n.applyConfig(o.Spec, "store")
+			n.applyConfig(o.Spec, o.Era, "store")
 		}
 	}
 }
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -9,22 +9,24 @@
 	"github.com/cyclamensaddle/cyclam/wire"
 )
 
-// knowledge returns the message for a node that has the given version of the
-// configuration in force: its missing configuration, this node's endpoint and the
+// knowledge returns the message for a node that has the given configuration in force: its missing configuration, this node's endpoint and the
 // loads. If full is set, the endpoints of the whole fleet are added.
-func (n *Node) knowledge(version cyclam.Version, full bool) *wire.Knowledge {
+func (n *Node) knowledge(has configID, full bool) *wire.Knowledge {
 	self, _ := n.endpoint()
+	packed, base, newest, err := n.configHistory.encodeFor(has)
+	if err != nil {
+		n.Log.Error("config-not-packed", "base", has.version, "error", err)
+	}
 	k := &wire.Knowledge{
-		Self:       codec.EncodeEndpoint(self),
-		Version:    uint64(n.version()),
-		StoreAgeUs: n.storeAge().Microseconds(),
+		Self:         codec.EncodeEndpoint(self),
+		Version:      uint64(newest.version),
+		Config:       packed,
+		ConfigBase:   uint64(base),
+		ConfigDigest: newest.digest,
+		ConfigEra:    newest.era,
+		StoreAgeUs:   n.storeAge().Microseconds(),
 	}
 	k.StoreEra, _ = n.storeEras.Current()
-	packed, base, err := n.configHistory.encodeFor(version)
-	if err != nil {
-		n.Log.Error("config-not-packed", "base", version, "error", err)
-	}
-	k.Config, k.ConfigBase = packed, uint64(base)
 	k.Loads = n.gossipLoads()
 	if !full {
 		return k
@@ -40,25 +42,44 @@
 // exchange sends this node's knowledge and merges the reply. If the other node is
 // behind or asks for the whole fleet, a second message follows.
 func (n *Node) exchange(ctx context.Context, client wire.DoorClient) error {
-	reply, err := client.Exchange(ctx, n.knowledge(n.version(), false))
+	reply, err := client.Exchange(ctx, n.knowledge(n.configHistory.newest(), false))
 	if err != nil {
 		return err
 	}
-	n.applyKnowledge(reply)
-	if reply.Full || cyclam.Version(reply.Version) < n.version() {
-		_, err = client.Exchange(ctx, n.knowledge(cyclam.Version(reply.Version), reply.Full))
+	if !n.applyKnowledge(reply) {
+		if err := n.requestWhole(ctx, client, configIDOf(reply)); err != nil {
+			return err
+		}
+	}
+	if reply.Full || n.configHistory.newest().replaces(configIDOf(reply)) {
+		_, err = client.Exchange(ctx, n.knowledge(configIDOf(reply), reply.Full))
+	}
+	return err
+}
+
+// requestWhole asks a node for its whole configuration, because this node does not have
+// the same text of the version on which that node has based a difference.
+func (n *Node) requestWhole(ctx context.Context, client wire.DoorClient, peer configID) error {
+	request := n.knowledge(peer, false)
+	request.Version, request.ConfigDigest, request.ConfigEra = 0, 0, 0
+	reply, err := client.Exchange(ctx, request)
+	if err == nil {
+		n.applyKnowledge(reply)
 	}
 	return err
 }
 
-// applyKnowledge merges what another node has sent.
-func (n *Node) applyKnowledge(k *wire.Knowledge) {
+// applyKnowledge merges what another node has sent. It returns false if the
+// configuration could not be decoded.
+func (n *Node) applyKnowledge(k *wire.Knowledge) bool {
+	readable := true
 	if len(k.Config) > 0 {
-		spec, err := n.configHistory.decode(cyclam.Version(k.ConfigBase), k.Config)
+		spec, err := n.configHistory.decode(cyclam.Version(k.ConfigBase), k.Config, k.ConfigDigest)
 		if err != nil {
+			readable = false
 			n.Log.Warn("config-unreadable", "peer", k.Self.GetInstance(), "base", k.ConfigBase, "error", err)
 		} else {
-			n.applyConfig(spec, "node")
+			n.applyConfig(spec, k.ConfigEra, "node")
 		}
 	}
 	if n.version() >= cyclam.Version(k.Version) {
@@ -84,4 +105,5 @@
 	if len(k.Endpoints) > 0 {
 		n.fleet.known = true
 	}
+	return readable
 }
--- a/proxy/meters.go
+++ b/proxy/meters.go
@@ -45,6 +45,12 @@
 	metrics.GetOrRegisterCounter("entries-written-again", m.registry).Inc(1)
 }
 
+// countReissued counts a version of the configuration that was replaced by another text
+// of the same number.
+func (m meters) countReissued() {
+	metrics.GetOrRegisterCounter("config-versions-reissued", m.registry).Inc(1)
+}
+
 // countStoreCall counts a call to the platform's store by operation and result.
 func (m meters) countStoreCall(call string, err error) {
 	result := "ok"
--- a/proxy/propagation_test.go
+++ b/proxy/propagation_test.go
@@ -42,8 +42,8 @@
 	s.platform.apply(t, testConfig(4))
 	s.platform.apply(t, testConfig(12))
 	s.waitFor("version 12 is in force", func() bool { return n.version() == 12 })
-	n.applyConfig([]byte(`{"Version":11}`), "test")
-	n.applyConfig([]byte(`{"Version":`), "test")
+	n.applyConfig([]byte(`{"Version":11}`), 0, "test")
+	n.applyConfig([]byte(`{"Version":`), 0, "test")
 	if got, want := n.version(), cyclam.Version(12); got != want {
 		t.Errorf("version: got %d, want %d", got, want)
 	}
