--- a/proxy/era_test.go
+++ b/proxy/era_test.go
@@ -163,6 +163,35 @@
 	}
 }
 
+// The copy's entry of a node that had left must not stay in the store for good: nodes
+// that start later would take it for a node that runs.
+func TestDoubtedEntryIsDeleted(t *testing.T) {
+	n := newFleetNode()
+	n.Settings.ForgetAfter = time.Second
+	platform := newMemPlatform()
+	n.Platform = platform
+	stored, err := platform.Put(t.Context(), storedEntry(t, "left", 11, cyclam.EndpointReady, cyclam.Position{}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	copied := platform.snapshot()
+	n.applyFleetList(listAt(platform.at, stored))
+	n.applyFleetEvent(cyclam.ObjectEvent{
+		Object:  stored,
+		Deleted: true,
+	})
+	platform.restore(copied)
+	list, err := platform.List(t.Context(), cyclam.KindEndpoint)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.applyFleetList(list)
+	n.deleteUnreachable(t.Context(), time.Now().Add(n.Settings.ForgetAfter+time.Second))
+	if storedLeft, err := platform.Get(t.Context(), stored.Key()); err == nil {
+		t.Errorf("entry of the node that had left: got %s, want it deleted", storedLeft.Spec)
+	}
+}
+
 // An entry that the copy lacks does not remove its node at once, since the node may
 // write it again; one that stays missing is gone.
 func TestEntryMissingInTheCopy(t *testing.T) {
--- a/proxy/meters.go
+++ b/proxy/meters.go
@@ -45,6 +45,11 @@
 	metrics.GetOrRegisterCounter("entries-written-again", m.registry).Inc(1)
 }
 
+// countDropped counts a list or a change that was of an older era than the last list.
+func (m meters) countDropped() {
+	metrics.GetOrRegisterCounter("store-answers-dropped", m.registry).Inc(1)
+}
+
 // countReissued counts a version of the configuration that was replaced by another text
 // of the same number.
 func (m meters) countReissued() {
--- a/proxy/store.go
+++ b/proxy/store.go
@@ -250,6 +250,7 @@
 	newEra, ok := n.fleet.store.startList(list.Position, time.Now())
 	n.mu.Unlock()
 	if !ok {
+		n.meters.countDropped()
 		n.Log.Debug("list-dropped", "era", list.Era, "known", before.Era)
 		return
 	}
@@ -308,6 +309,7 @@
 	current := n.fleet.store.accepts(e.Object.Position)
 	n.mu.Unlock()
 	if !current {
+		n.meters.countDropped()
 		n.Log.Debug("change-dropped", "peer", name, "era", e.Object.Era)
 		return
 	}
