--- a/proxy/meters.go
+++ b/proxy/meters.go
@@ -48,6 +48,23 @@
 	metrics.GetOrRegisterCounter("requests-"+v.Outcome.String(), m.registry).Inc(1)
 }
 
+// countWrittenAgain counts an entry that was written again after the store's return from
+// a copy.
+func (m meters) countWrittenAgain() {
+	metrics.GetOrRegisterCounter("entries-written-again", m.registry).Inc(1)
+}
+
+// countDropped counts a list or a change that was of an older era than the last list.
+func (m meters) countDropped() {
+	metrics.GetOrRegisterCounter("store-answers-dropped", m.registry).Inc(1)
+}
+
+// countReissued counts a version of the configuration that was replaced by another text
+// of the same number.
+func (m meters) countReissued() {
+	metrics.GetOrRegisterCounter("config-versions-reissued", m.registry).Inc(1)
+}
+
 // countStoreCall counts a call to the platform's store by operation and result.
 func (m meters) countStoreCall(call string, err error) {
 	result := "ok"
