--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -99,7 +99,7 @@
 	}
 	for _, w := range k.Endpoints {
 		if e, err := codec.DecodeEndpoint(w); err == nil && e.Instance != n.self.Instance {
-			n.fleet.addFromPeer(e)
+			n.fleet.addFromPeer(e, time.Now())
 		}
 	}
 	if len(k.Endpoints) > 0 {
--- a/proxy/fleet.go
+++ b/proxy/fleet.go
@@ -56,31 +56,31 @@
 func (f *fleet) updateFromSelf(e cyclam.Endpoint, now time.Time) {
 	m, ok := f.members[e.Instance]
 	if !ok || m.view.Endpoint.Incarnation != e.Incarnation || m.view.Endpoint.Sequence <= e.Sequence {
-		m = f.upsert(e)
+		m = f.upsert(e, now)
 	}
 	m.spokeAt = now
 }
 
 // addFromPeer adds an endpoint that a third node has sent, unless the endpoint's node
 // is already known or its process was seen to end.
-func (f *fleet) addFromPeer(e cyclam.Endpoint) {
+func (f *fleet) addFromPeer(e cyclam.Endpoint, now time.Time) {
 	_, known := f.members[e.Instance]
 	_, ended := f.store.ended[e.Identity]
 	if !known && !ended {
-		f.upsert(e)
+		f.upsert(e, now)
 	}
 }
 
 // upsert adds or replaces a node's endpoint. A new process or address resets its load
 // and round trip.
-func (f *fleet) upsert(e cyclam.Endpoint) *member {
+func (f *fleet) upsert(e cyclam.Endpoint, now time.Time) *member {
 	m, ok := f.members[e.Instance]
 	if !ok {
 		m = &member{}
 		f.members[e.Instance] = m
 	}
 	if ok && m.view.Endpoint.Identity != e.Identity {
-		f.store.noteEnded(m.view.Endpoint.Identity, time.Now())
+		f.store.noteEnded(m.view.Endpoint.Identity, now)
 	}
 	if e.State != cyclam.EndpointGone {
 		delete(f.store.ended, e.Identity)
@@ -99,7 +99,7 @@
 	if e.State == cyclam.EndpointDown {
 		// The node is tried again after avoidBase, because the notice that it is ready
 		// may be lost.
-		m.view.AvoidUntil = time.Now().Add(avoidBase)
+		m.view.AvoidUntil = now.Add(avoidBase)
 	}
 	m.view.Endpoint = e
 	return m
--- a/proxy/store.go
+++ b/proxy/store.go
@@ -243,32 +243,34 @@
 }
 
 // applyFleetList applies a complete list of the entries and removes nodes that are not
-// in it. A list of an older era than the last one is dropped.
+// in it. A list that is older than what was applied is dropped.
 func (n *Node) applyFleetList(list cyclam.ObjectList) {
+	listed, entries := n.decodeList(list)
 	n.mu.Lock()
 	before := n.fleet.store.latest
-	newEra, ok := n.fleet.store.startList(list.Position, time.Now())
+	first := !n.fleet.known
+	doubtful, newEra, ok := n.fleet.applyList(list.Position, entries, listed, time.Now())
+	missing, count := len(n.fleet.store.missing), len(n.fleet.members)
 	n.mu.Unlock()
 	if !ok {
 		n.meters.countDropped()
 		n.Log.Debug("list-dropped", "era", list.Era, "known", before.Era)
 		return
 	}
-	listed := map[cyclam.InstanceName]bool{}
 	for _, o := range list.Objects {
-		listed[cyclam.InstanceName(o.Name)] = true
-		n.applyFleetEvent(cyclam.ObjectEvent{
-			Object: o,
-		})
+		if cyclam.InstanceName(o.Name) == n.self.Instance {
+			n.applyOwnEntry(cyclam.ObjectEvent{
+				Object: o,
+			})
+		}
 	}
-	n.mu.Lock()
-	n.fleet.removeUnlisted(listed, time.Now())
-	missing := len(n.fleet.store.missing)
-	first := !n.fleet.known
-	n.fleet.known = true
-	count := len(n.fleet.members)
-	n.mu.Unlock()
 	n.applyListedNames(listed, list.Position, newEra)
+	for _, e := range entries {
+		n.logSeen(e)
+	}
+	for _, name := range doubtful {
+		go n.confirm(name)
+	}
 	if first {
 		n.Log.Info("fleet-known", "source", "store", "nodes", count)
 	}
@@ -285,6 +287,34 @@
 	}
 }
 
+// decodeList returns the names of all entries of a list, and the endpoints of those of
+// other nodes that can be read.
+func (n *Node) decodeList(list cyclam.ObjectList) (map[cyclam.InstanceName]bool, []storedEndpoint) {
+	listed := map[cyclam.InstanceName]bool{}
+	var entries []storedEndpoint
+	for _, o := range list.Objects {
+		name := cyclam.InstanceName(o.Name)
+		listed[name] = true
+		if name == n.self.Instance {
+			continue
+		}
+		endpoint, err := decodeEntry(o)
+		if err != nil {
+			n.Log.Warn("entry-unreadable", "peer", name, "error", err)
+			continue
+		}
+		entries = append(entries, storedEndpoint{
+			endpoint: endpoint,
+			at:       o.Position,
+		})
+	}
+	return listed, entries
+}
+
+func (n *Node) logSeen(e storedEndpoint) {
+	n.Log.Info("node-seen", "peer", e.endpoint.Instance, "state", e.endpoint.State.String(), "revision", e.at.Revision)
+}
+
 // removeMissing removes the nodes whose entries have not come back in an era.
 func (n *Node) removeMissing(era uint64) {
 	n.mu.Lock()
@@ -303,24 +333,24 @@
 	n.Log.Info("node-doubted", "peer", name, "error", err)
 }
 
+// applyFleetEvent applies one change of an entry, unless it is outdated.
 func (n *Node) applyFleetEvent(e cyclam.ObjectEvent) {
 	name := cyclam.InstanceName(e.Object.Name)
+	now := time.Now()
 	n.mu.Lock()
 	current := n.fleet.store.accepts(e.Object.Position)
+	if current && e.Deleted && name != n.self.Instance {
+		current = n.fleet.removeDeleted(name, e.Object.Position, now)
+	}
 	n.mu.Unlock()
-	if !current {
-		n.meters.countDropped()
-		n.Log.Debug("change-dropped", "peer", name, "era", e.Object.Era)
+	switch {
+	case !current:
+		n.noteDropped(e.Object)
 		return
-	}
-	if name == n.self.Instance {
+	case name == n.self.Instance:
 		n.applyOwnEntry(e)
 		return
-	}
-	if e.Deleted {
-		n.mu.Lock()
-		n.fleet.remove(name, time.Now())
-		n.mu.Unlock()
+	case e.Deleted:
 		n.Log.Info("node-gone", "peer", name)
 		return
 	}
@@ -329,12 +359,21 @@
 		n.Log.Warn("entry-unreadable", "peer", name, "error", err)
 		return
 	}
+	seen := storedEndpoint{
+		endpoint: endpoint,
+		at:       e.Object.Position,
+	}
 	n.mu.Lock()
-	doubtful := n.fleet.updateFromStore(endpoint, e.Object.Position, time.Now())
+	current = n.fleet.applyChange(seen, now)
 	n.mu.Unlock()
-	if doubtful {
-		go n.confirm(name)
+	if !current {
+		n.noteDropped(e.Object)
 		return
 	}
-	n.Log.Info("node-seen", "peer", name, "state", endpoint.State.String(), "revision", e.Object.Revision)
+	n.logSeen(seen)
+}
+
+func (n *Node) noteDropped(o cyclam.Object) {
+	n.meters.countDropped()
+	n.Log.Debug("change-dropped", "peer", o.Name, "era", o.Era)
 }
--- a/proxy/storeview.go
+++ b/proxy/storeview.go
@@ -21,6 +21,8 @@
 // storeView is what the fleet's view has taken from the store.
 type storeView struct {
 	listed bool
+	// listedAt is the position of the last list that was applied.
+	listedAt cyclam.Position
 	// latest is the highest position of a list or change that was applied.
 	latest cyclam.Position
 	// copied is the position of the first list after the store's return from a copy.
@@ -35,19 +37,26 @@
 	ended map[cyclam.Identity]ending
 }
 
-// ending is the era and the time in which the end of a process was seen.
+// ending is the position up to which the store had been read when the end of a process
+// was seen, and the time of that.
 type ending struct {
-	era uint64
-	at  time.Time
+	at   cyclam.Position
+	time time.Time
+}
+
+// storedEndpoint is an endpoint and the position of its entry in the store.
+type storedEndpoint struct {
+	endpoint cyclam.Endpoint
+	at       cyclam.Position
 }
 
 // startList prepares for the entries of a list. It reports whether the list starts a new
-// era; ok is false if the list is of an older era and must be dropped.
+// era; ok is false if the list is older than what was applied and must be dropped.
 func (v *storeView) startList(at cyclam.Position, now time.Time) (newEra, ok bool) {
 	switch {
 	case !v.listed:
 		v.listed = true
-	case at.Era < v.latest.Era:
+	case at.Before(v.latest):
 		return false, false
 	case at.Era > v.latest.Era:
 		newEra = true
@@ -55,6 +64,7 @@
 		v.keepUntil = now.Add(missingGrace)
 		v.missing = map[cyclam.InstanceName]bool{}
 	}
+	v.listedAt = at
 	v.advance(at)
 	return newEra, true
 }
@@ -81,53 +91,105 @@
 		v.ended = map[cyclam.Identity]ending{}
 	}
 	for p, e := range v.ended {
-		if now.Sub(e.at) > endedKept {
+		if now.Sub(e.time) > endedKept {
 			delete(v.ended, p)
 		}
 	}
 	v.ended[process] = ending{
-		era: v.latest.Era,
-		at:  now,
+		at:   v.latest,
+		time: now,
 	}
 }
 
 // endedBefore reports whether a process was seen to end in an era before that of at.
 func (v *storeView) endedBefore(process cyclam.Identity, at cyclam.Position) bool {
 	e, ok := v.ended[process]
-	return ok && e.era < at.Era
+	return ok && e.at.Era < at.Era
+}
+
+// outdated reports whether an entry was written before its process was seen to end.
+func (v *storeView) outdated(process cyclam.Identity, at cyclam.Position) bool {
+	e, ok := v.ended[process]
+	return ok && e.at.Era == at.Era && at.Before(e.at)
+}
+
+// applyList applies a complete list of entries. Names listed without an entry are those
+// of unreadable ones. It returns the nodes that are to be asked whether they run, and
+// whether the list starts a new era; ok is false if the list was dropped.
+func (f *fleet) applyList(at cyclam.Position, entries []storedEndpoint, listed map[cyclam.InstanceName]bool, now time.Time) (doubtful []cyclam.InstanceName, newEra, ok bool) {
+	newEra, ok = f.store.startList(at, now)
+	if !ok {
+		return nil, false, false
+	}
+	for _, e := range entries {
+		if f.updateFromStore(e.endpoint, e.at, now) {
+			doubtful = append(doubtful, e.endpoint.Instance)
+		}
+	}
+	f.removeUnlisted(listed, now)
+	f.known = true
+	return doubtful, newEra, true
+}
+
+// applyChange applies an entry that was written after the last list. It returns false if
+// the change is older or of another era.
+func (f *fleet) applyChange(e storedEndpoint, now time.Time) bool {
+	if !f.store.accepts(e.at) || !f.store.listedAt.Before(e.at) {
+		return false
+	}
+	f.updateFromStore(e.endpoint, e.at, now)
+	return true
+}
+
+// removeDeleted removes a node whose entry was deleted. The position may be that of the
+// deletion or of the deleted entry. It returns false if the change is of another era, or
+// a later entry has been applied.
+func (f *fleet) removeDeleted(name cyclam.InstanceName, at cyclam.Position, now time.Time) bool {
+	if !f.store.accepts(at) {
+		return false
+	}
+	f.store.advance(at)
+	m, ok := f.members[name]
+	if ok && at.Before(m.at) {
+		return false
+	}
+	f.remove(name, now)
+	return true
 }
 
 // updateFromStore applies a stored entry, unless one at the same or a later position has
 // been applied. An entry that may come from a copy changes nothing that was known to be
-// newer: if its process was seen to end, doubtful is true and the node is not picked
-// until it answers or writes its entry again.
+// newer. If it names another process than the node has, or one that was seen to end,
+// doubtful is true: the node has to be asked. One that was gone is not picked until it
+// answers or writes its entry again.
 func (f *fleet) updateFromStore(e cyclam.Endpoint, at cyclam.Position, now time.Time) (doubtful bool) {
 	m, known := f.members[e.Instance]
-	if known && !m.at.Before(at) {
+	if known && !m.at.Before(at) || !known && f.store.outdated(e.Identity, at) {
 		return false
 	}
 	f.store.advance(at)
 	copied := f.store.mayBeCopied(at)
-	switch ended := copied && f.store.endedBefore(e.Identity, at); {
+	ended := copied && f.store.endedBefore(e.Identity, at)
+	switch {
 	case ended && !known:
-		m = f.upsert(e.WithState(cyclam.EndpointGone))
+		m = f.upsert(e.WithState(cyclam.EndpointGone), now)
 		m.unreachableSince = now
 		m.at = at
 		return true
-	case known && (ended || f.outdated(m, e, copied, now)):
+	case known && ended, known && m.outdates(e, copied, now):
 		m.at = at
-		return false
+		return m.view.Endpoint.Incarnation != e.Incarnation
 	}
-	f.upsert(e).at = at
+	f.upsert(e, now).at = at
 	return false
 }
 
-// outdated reports whether what is known of a node is newer than its stored entry e.
+// outdates reports whether what is known of a node goes before its stored entry e.
 // Entries without a sequence are of an older build.
-func (f *fleet) outdated(m *member, e cyclam.Endpoint, copied bool, now time.Time) bool {
+func (m *member) outdates(e cyclam.Endpoint, copied bool, now time.Time) bool {
 	held := m.view.Endpoint
 	if held.Incarnation != e.Incarnation {
-		return copied && now.Sub(m.spokeAt) < recentWord
+		return copied && held.Control == e.Control && now.Sub(m.spokeAt) < recentWord
 	}
 	return copied && e.Sequence <= held.Sequence || e.Sequence != 0 && e.Sequence < held.Sequence
 }
