A connect ended by its own caller does not make a link count as failing

Cause: link.connect marked the link as failing whenever no connection was ready in time, also if the context had ended first because the caller had left or its deadline had passed. The revocation that follows at once then had 60 ms to connect (failingConnectTimeout), less than two round trips between regions need, and was not tried again; the upstream worked on until the broken stream was noticed or the deadline passed. Change: connect leaves the mark alone if the caller's context has ended. Why it works: the mark stands for "the other node did not answer in connectTimeout", and only a connect that waited that long shows it.

--- a/proxy/link.go
+++ b/proxy/link.go
@@ -104,15 +104,16 @@
 // because a node has many connections.
 const bufferSize = 8 << 10
 
-// connect returns an established connection. An error means that nothing was sent.
-func (l *link) connect(ctx context.Context) (*grpc.ClientConn, error) {
+// connect returns an established connection. An error means that nothing was sent. If
+// the context ends first, the link does not count as failing.
+func (l *link) connect(caller context.Context) (*grpc.ClientConn, error) {
 	l.mu.Lock()
 	limit := connectTimeout
 	if l.failing {
 		limit = failingConnectTimeout
 	}
 	l.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	ctx, cancel := context.WithTimeout(caller, limit)
 	defer cancel()
 	for {
 		conn, err := l.getConn()
@@ -130,6 +131,9 @@
 			return nil, l.connectFailed()
 		}
 		if !conn.WaitForStateChange(ctx, state) {
+			if caller.Err() != nil {
+				return nil, cyclam.AtStep("connect", l.address, errNotConnected)
+			}
 			return nil, l.connectFailed()
 		}
 	}
