Requests to other nodes count towards the link's rate

Cause: the pacer gave 93% of the link's rate to answers and left the rest for everything else. Beside an upstream of downloads, the requests of the node's own callers need more than that rest, so the link's queue grew to half a second, and every request, revocation and acknowledgement from that node waited in it. Change: what is written on connections to other nodes is reserved on the pacer. It is not delayed; the large answers leave room for it. Why it works: the schedule of the large answers now starts after the bytes that were sent at once, so that all together stay at the rate. Not counted still: headers below TCP, acknowledgements, calls to the platform.

--- a/proxy/link.go
+++ b/proxy/link.go
@@ -74,7 +74,14 @@
 	return grpc.NewClient("passthrough:///"+l.address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
-			return l.node.Dial(ctx, address)
+			conn, err := l.node.Dial(ctx, address)
+			if err != nil {
+				return nil, err
+			}
+			return &pacedConn{
+				Conn:  conn,
+				pacer: &l.node.pacer,
+			}, nil
 		}),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff: backoff.Config{
--- a/proxy/pacer.go
+++ b/proxy/pacer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"sync"
 	"time"
 
@@ -11,8 +12,9 @@
 )
 
 const (
-	// paceShare is the fraction of the link's rate available to answers. The rest is
-	// left for traffic that is not counted: headers, requests and acknowledgements.
+	// paceShare is the fraction of the link's rate available to answers and to requests
+	// to other nodes. The rest is left for traffic that is not counted: headers,
+	// acknowledgements and calls to the platform.
 	paceShare = 0.93
 	// chunkSize is the most bytes of a large answer sent at once: 16 ms on a link of
 	// 8.4 Mbit/s.
@@ -72,6 +74,20 @@
 	return wait <= 0 || sleep(ctx, wait)
 }
 
+// pacedConn counts what is written to another node on the pacer, so that large answers
+// leave room for it on the link. It does not delay the writes.
+type pacedConn struct {
+	net.Conn
+
+	pacer *linkPacer
+}
+
+// Write writes data at once.
+func (c *pacedConn) Write(data []byte) (int, error) {
+	c.pacer.reserve(len(data))
+	return c.Conn.Write(data)
+}
+
 // splitChunks divides the replies of a large answer into messages that carry at
 // most chunkSize bytes of the body each.
 func splitChunks(replies []*wire.Reply, large bool) [][]*wire.Reply {
