The service time of an upstream does not depend on which routes ran last

Cause: an upstream's service time was a moving average over its last ten or so runs. Requests made by running work are short and go first, so a node with a queue ran mostly those, and its average fell to a quarter of the time of a long request. Every node then saw it as the fastest: it got most long requests for a while, and, by the same average, queued them as if it could run them in time. The requests with their bodies filled its link; what was sent to it arrived half a second late. Change: the average of each route is kept as before, and the service time is the mean of the routes' averages. Why it works: two upstreams of the same speed now report the same time whatever they have just run, so only their queues and distances decide.

--- a/sched/sched.go
+++ b/sched/sched.go
@@ -67,8 +67,9 @@
 	leaving  bool
 	drainEnd time.Time
 	down     bool
-	// serviceTime is the moving average of the service time, routeServiceTimes the
-	// same for each route.
+	// routeServiceTimes holds the moving average of the service time for each route,
+	// serviceTime their mean. An average over all runs would depend on which routes
+	// ran last.
 	serviceTime       time.Duration
 	routeServiceTimes map[string]time.Duration
 	// failureRate is the moving average of the fraction of failed runs.
@@ -213,13 +214,13 @@
 func (s State) End(now time.Time, run RunResult) (State, []Decision) {
 	s.running = max(0, s.running-1)
 	if run.Ran && !run.Failed {
-		s.serviceTime += time.Duration(serviceTimeWeight * float64(run.Took-s.serviceTime))
 		previous := s.expectedServiceTime(run.Route)
 		s.routeServiceTimes = maps.Clone(s.routeServiceTimes)
 		if s.routeServiceTimes == nil {
 			s.routeServiceTimes = map[string]time.Duration{}
 		}
 		s.routeServiceTimes[run.Route] = previous + time.Duration(serviceTimeWeight*float64(run.Took-previous))
+		s.serviceTime = mean(s.routeServiceTimes)
 	}
 	failed := 0.0
 	if run.Failed {
@@ -233,6 +234,15 @@
 	return s.dispatch(now)
 }
 
+// mean returns the mean of the times, of which there must be at least one.
+func mean(times map[string]time.Duration) time.Duration {
+	sum := time.Duration(0)
+	for _, t := range times {
+		sum += t
+	}
+	return sum / time.Duration(len(times))
+}
+
 // expectedServiceTime returns a route's average service time, or that of all
 // routes if the route has none yet.
 func (s State) expectedServiceTime(route string) time.Duration {
