--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -23,6 +23,8 @@
 	// that process has been withdrawn. A restarting node reads both.
 	Upstream string `json:"upstream"`
 	Leaving  bool   `json:"leaving"`
+	// Sequence orders the entries of one incarnation; zero if an older build wrote it.
+	Sequence uint64 `json:"sequence,omitempty"`
 }
 
 var entryStates = map[string]cyclam.EndpointState{
@@ -47,8 +49,9 @@
 			Instance:    cyclam.InstanceName(o.Name),
 			Incarnation: cyclam.Incarnation(e.Incarnation),
 		},
-		State:   state,
-		Service: cyclam.ServiceName(e.Service),
+		Sequence: e.Sequence,
+		State:    state,
+		Service:  cyclam.ServiceName(e.Service),
 		Locality: cyclam.Locality{
 			Region:     cyclam.Region(e.Region),
 			DataCentre: cyclam.DataCentre(e.DataCentre),
@@ -58,13 +61,19 @@
 	}, nil
 }
 
-// ownEntry is the last known stored entry of this node. A zero revision means that
+// ownEntry is the last known stored entry of this node. A zero position means that
 // there is none; listed is set once the store has been read.
 type ownEntry struct {
-	mu       sync.Mutex
-	listed   bool
-	revision uint64
-	stored   entry
+	mu     sync.Mutex
+	listed bool
+	at     cyclam.Position
+	stored entry
+	// announced is the last result of Node.endpoint.
+	announced entry
+	// newEra is set from the first list of a new era until the entry is stored in it;
+	// eraSince is the time of that list.
+	newEra   uint64
+	eraSince time.Time
 }
 
 // endpoint returns the current endpoint of this node and its stored form.
@@ -85,7 +94,7 @@
 	default:
 		e.State = cyclam.EndpointDown
 	}
-	return e, entry{
+	announced := n.entry.announce(entry{
 		Incarnation: uint64(e.Incarnation),
 		State:       e.State.String(),
 		Service:     string(e.Service),
@@ -95,7 +104,36 @@
 		Slots:       e.Slots,
 		Upstream:    up.id,
 		Leaving:     up.leaving,
+	})
+	e.Sequence = announced.Sequence
+	return e, announced
+}
+
+// announce returns the entry with its sequence, which rises with each change.
+func (o *ownEntry) announce(e entry) entry {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	e.Sequence = o.announced.Sequence
+	if e != o.announced {
+		e.Sequence++
+		o.announced = e
 	}
+	return e
+}
+
+// endEraStart logs once in a new era that what this node keeps in the store is there.
+func (n *Node) endEraStart(written bool) {
+	n.entry.mu.Lock()
+	era, since := n.entry.newEra, n.entry.eraSince
+	n.entry.newEra = 0
+	n.entry.mu.Unlock()
+	if era == 0 {
+		return
+	}
+	if written {
+		n.meters.countWrittenAgain()
+	}
+	n.Log.Info("store-era-settled", "era", era, "written-again", written, "after", time.Since(since))
 }
 
 // requestEntryWrite wakes runEntryWriter.
@@ -106,13 +144,16 @@
 	}
 }
 
-// applyListedNames records that the store has been read. If it holds no entry of this
-// node, the next write creates one.
-func (n *Node) applyListedNames(listed map[cyclam.InstanceName]bool) {
+// applyListedNames records that the store has been read at this position. If it holds no
+// entry of this node, the next write creates one.
+func (n *Node) applyListedNames(listed map[cyclam.InstanceName]bool, at cyclam.Position, newEra bool) {
 	n.entry.mu.Lock()
 	n.entry.listed = true
-	if !listed[n.self.Instance] {
-		n.entry.revision, n.entry.stored = 0, entry{}
+	if newEra {
+		n.entry.newEra, n.entry.eraSince = at.Era, time.Now()
+	}
+	if !listed[n.self.Instance] && !at.Before(n.entry.at) {
+		n.entry.at, n.entry.stored = cyclam.Position{}, entry{}
 	}
 	n.entry.mu.Unlock()
 	n.requestEntryWrite()
@@ -127,11 +168,11 @@
 		}
 	}
 	n.entry.mu.Lock()
-	first := n.entry.revision == 0
-	if e.Object.Revision >= n.entry.revision {
-		n.entry.stored, n.entry.revision = stored, e.Object.Revision
+	first := n.entry.at.IsZero()
+	if !e.Object.Position.Before(n.entry.at) {
+		n.entry.stored, n.entry.at = stored, e.Object.Position
 		if e.Deleted {
-			n.entry.revision = 0
+			n.entry.at = cyclam.Position{}
 		}
 	}
 	n.entry.mu.Unlock()
@@ -160,9 +201,10 @@
 			time.AfterFunc(remaining, n.requestEntryWrite)
 			continue
 		}
+		_, risen := n.storeEras.Current()
 		if err := n.writeEntry(ctx); err != nil {
 			n.Log.Warn("entry-not-written", "failures", failures, "error", err)
-			waitRetry(ctx, failures)
+			waitRetry(ctx, failures, risen)
 			failures++
 			n.requestEntryWrite()
 			continue
@@ -176,9 +218,13 @@
 func (n *Node) writeEntry(ctx context.Context) error {
 	_, want := n.endpoint()
 	n.entry.mu.Lock()
-	listed, revision, stored := n.entry.listed, n.entry.revision, n.entry.stored
+	listed, at, stored := n.entry.listed, n.entry.at, n.entry.stored
 	n.entry.mu.Unlock()
-	if !listed || stored == want {
+	if !listed {
+		return nil
+	}
+	if stored == want {
+		n.endEraStart(false)
 		return nil
 	}
 	spec, err := json.Marshal(want)
@@ -188,7 +234,7 @@
 	put, err := n.Platform.Put(ctx, cyclam.Object{
 		Kind:     cyclam.KindEndpoint,
 		Name:     string(n.self.Instance),
-		Revision: revision,
+		Position: at,
 		Spec:     spec,
 	})
 	n.meters.countStoreCall("put", err)
@@ -197,9 +243,12 @@
 		return err
 	}
 	n.entry.mu.Lock()
-	n.entry.revision, n.entry.stored = put.Revision, want
+	if n.entry.at.Before(put.Position) {
+		n.entry.at, n.entry.stored = put.Position, want
+	}
 	n.entry.mu.Unlock()
-	n.Log.Info("entry-written", "state", want.State, "revision", put.Revision)
+	n.Log.Info("entry-written", "state", want.State, "era", put.Era, "revision", put.Revision)
+	n.endEraStart(true)
 	return nil
 }
 
@@ -210,9 +259,9 @@
 func (n *Node) deleteEntry(ctx context.Context) {
 	_, own := n.endpoint()
 	n.entry.mu.Lock()
-	revision := n.entry.revision
+	at := n.entry.at
 	n.entry.mu.Unlock()
-	if !own.Leaving || revision == 0 {
+	if !own.Leaving || at.IsZero() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, deleteTimeout)
@@ -220,7 +269,7 @@
 	err := n.Platform.Delete(ctx, cyclam.Key{
 		Kind: cyclam.KindEndpoint,
 		Name: string(n.self.Instance),
-	}, revision)
+	}, at)
 	n.meters.countStoreCall("delete", err)
 	n.Log.Info("entry-deleted", "error", err)
 }
@@ -236,7 +285,7 @@
 	defer n.entry.mu.Unlock()
 	switch {
 	case errors.Is(err, cyclam.ErrNotFound):
-		n.entry.revision, n.entry.stored = 0, entry{}
+		n.entry.at, n.entry.stored = cyclam.Position{}, entry{}
 	case err != nil:
 		n.Log.Warn("own-entry-unread", "error", err)
 	default:
@@ -244,6 +293,8 @@
 		if err := json.Unmarshal(object.Spec, &stored); err != nil {
 			n.Log.Warn("own-entry-unreadable", "error", err)
 		}
-		n.entry.revision, n.entry.stored = object.Revision, stored
+		if n.entry.at.Before(object.Position) {
+			n.entry.at, n.entry.stored = object.Position, stored
+		}
 	}
 }
--- a/proxy/fleet.go
+++ b/proxy/fleet.go
@@ -12,8 +12,10 @@
 // member is the view of one other node.
 type member struct {
 	view picker.Candidate
-	// revision is that of the stored entry that was applied last.
-	revision uint64
+	// at is the position of the stored entry that was applied last.
+	at cyclam.Position
+	// spokeAt is the time of the last message of the node about itself.
+	spokeAt time.Time
 	// failures is the number of consecutive failed connects; unreachableSince is the
 	// time of the first one.
 	failures         int
@@ -39,6 +41,7 @@
 	members map[cyclam.InstanceName]*member
 	// known is set once the store or another node has provided the list of nodes.
 	known bool
+	store storeView
 }
 
 func newFleet(self cyclam.Endpoint) fleet {
@@ -48,35 +51,40 @@
 	}
 }
 
-// updateFromStore applies a stored entry, unless one with the same or a later revision
-// has been applied.
-func (f *fleet) updateFromStore(e cyclam.Endpoint, revision uint64) {
+// updateFromSelf applies an endpoint that the node itself has sent, unless the same
+// process has announced a later one.
+func (f *fleet) updateFromSelf(e cyclam.Endpoint, now time.Time) {
 	m, ok := f.members[e.Instance]
-	if ok && revision <= m.revision {
-		return
+	if !ok || m.view.Endpoint.Incarnation != e.Incarnation || m.view.Endpoint.Sequence <= e.Sequence {
+		m = f.upsert(e, now)
 	}
-	f.upsert(e).revision = revision
+	m.spokeAt = now
 }
 
-// updateFromSelf applies an endpoint that the node itself has sent.
-func (f *fleet) updateFromSelf(e cyclam.Endpoint) { f.upsert(e) }
-
 // addFromPeer adds an endpoint that a third node has sent, unless the endpoint's node
-// is already known.
-func (f *fleet) addFromPeer(e cyclam.Endpoint) {
-	if _, ok := f.members[e.Instance]; !ok {
-		f.upsert(e)
+// is already known or its process was seen to end.
+func (f *fleet) addFromPeer(e cyclam.Endpoint, now time.Time) {
+	_, known := f.members[e.Instance]
+	_, ended := f.store.ended[e.Identity]
+	if !known && !ended {
+		f.upsert(e, now)
 	}
 }
 
 // upsert adds or replaces a node's endpoint. A new process or address resets its load
 // and round trip.
-func (f *fleet) upsert(e cyclam.Endpoint) *member {
+func (f *fleet) upsert(e cyclam.Endpoint, now time.Time) *member {
 	m, ok := f.members[e.Instance]
 	if !ok {
 		m = &member{}
 		f.members[e.Instance] = m
 	}
+	if ok && m.view.Endpoint.Identity != e.Identity {
+		f.store.noteEnded(m.view.Endpoint.Identity, now)
+	}
+	if e.State != cyclam.EndpointGone {
+		delete(f.store.ended, e.Identity)
+	}
 	if !ok || m.view.Endpoint.Identity != e.Identity || m.view.Endpoint.Control != e.Control {
 		m.view = picker.Candidate{
 			RTT:     picker.InitialRTT(f.self.Locality, e.Locality),
@@ -91,14 +99,19 @@
 	if e.State == cyclam.EndpointDown {
 		// The node is tried again after avoidBase, because the notice that it is ready
 		// may be lost.
-		m.view.AvoidUntil = time.Now().Add(avoidBase)
+		m.view.AvoidUntil = now.Add(avoidBase)
 	}
 	m.view.Endpoint = e
 	return m
 }
 
 // remove drops a node whose entry was deleted from the store.
-func (f *fleet) remove(name cyclam.InstanceName) { delete(f.members, name) }
+func (f *fleet) remove(name cyclam.InstanceName, now time.Time) {
+	if m, ok := f.members[name]; ok {
+		f.store.noteEnded(m.view.Endpoint.Identity, now)
+		delete(f.members, name)
+	}
+}
 
 // candidates returns the nodes that run an upstream of a service.
 func (f *fleet) candidates(service cyclam.ServiceName) []picker.Candidate {
@@ -127,12 +140,16 @@
 	}
 	m.view.Load = decodeLoad(l)
 	if inc := cyclam.Incarnation(l.Incarnation); inc != 0 && inc != m.view.Endpoint.Incarnation {
+		n.fleet.store.noteEnded(m.view.Endpoint.Identity, time.Now())
 		m.view.Endpoint.Incarnation = inc
+		delete(n.fleet.store.ended, m.view.Endpoint.Identity)
+		m.view.Endpoint.Sequence = 0
 		m.view.Endpoint.State = cyclam.EndpointReady
 		n.Log.Info("node-restarted", "peer", name, "incarnation", inc)
 		go n.link(m.view.Endpoint.Control).resync()
 	}
 	m.view.LoadAt = time.Now()
+	m.spokeAt = m.view.LoadAt
 	m.view.InFlight = 0
 	m.failures = 0
 	m.unreachableSince = time.Time{}
@@ -193,7 +210,7 @@
 	defer n.mu.Unlock()
 	m, ok := n.fleet.members[name]
 	switch {
-	case !ok:
+	case !ok || m.view.Endpoint.State == cyclam.EndpointGone:
 	case err != nil:
 		m.exchangeFailedAt = time.Now()
 	default:
@@ -210,20 +227,20 @@
 	if after <= 0 {
 		return
 	}
-	lost := map[cyclam.InstanceName]uint64{}
+	lost := map[cyclam.InstanceName]cyclam.Position{}
 	n.mu.Lock()
 	for name, m := range n.fleet.members {
-		if !m.unreachableSince.IsZero() && now.Sub(m.unreachableSince) > after && m.revision > 0 {
-			lost[name] = m.revision
+		if !m.unreachableSince.IsZero() && now.Sub(m.unreachableSince) > after && n.fleet.store.accepts(m.at) && !m.at.IsZero() {
+			lost[name] = m.at
 			m.unreachableSince = now
 		}
 	}
 	n.mu.Unlock()
-	for name, revision := range lost {
+	for name, at := range lost {
 		err := n.Platform.Delete(ctx, cyclam.Key{
 			Kind: cyclam.KindEndpoint,
 			Name: string(name),
-		}, revision)
+		}, at)
 		n.meters.countStoreCall("delete", err)
 		n.Log.Info("node-forgotten", "peer", name, "out-of-reach", after, "error", err)
 	}
@@ -242,5 +259,11 @@
 func (n *Node) nodeCount() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return len(n.fleet.members) + 1
+	count := 1
+	for _, m := range n.fleet.members {
+		if m.view.Endpoint.State != cyclam.EndpointGone {
+			count++
+		}
+	}
+	return count
 }
--- a/proxy/link.go
+++ b/proxy/link.go
@@ -78,7 +78,14 @@
 	return grpc.NewClient("passthrough:///"+l.address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
-			return l.node.Dial(ctx, address)
+			conn, err := l.node.Dial(ctx, address)
+			if err != nil {
+				return nil, err
+			}
+			return &pacedConn{
+				Conn:  conn,
+				pacer: &l.node.pacer,
+			}, nil
 		}),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff: backoff.Config{
@@ -108,15 +115,16 @@
 // because a node has many connections.
 const bufferSize = 8 << 10
 
-// connect returns an established connection. An error means that nothing was sent.
-func (l *link) connect(ctx context.Context) (*grpc.ClientConn, error) {
+// connect returns an established connection. An error means that nothing was sent. If
+// the context ends first, the link does not count as failing.
+func (l *link) connect(caller context.Context) (*grpc.ClientConn, error) {
 	l.mu.Lock()
 	limit := connectTimeout
 	if l.failing {
 		limit = failingConnectTimeout
 	}
 	l.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	ctx, cancel := context.WithTimeout(caller, limit)
 	defer cancel()
 	for {
 		conn, err := l.getConn()
@@ -134,6 +142,9 @@
 			return nil, l.connectFailed()
 		}
 		if !conn.WaitForStateChange(ctx, state) {
+			if caller.Err() != nil {
+				return nil, cyclam.AtStep("connect", l.address, errNotConnected)
+			}
 			return nil, l.connectFailed()
 		}
 	}
--- a/proxy/propagation_test.go
+++ b/proxy/propagation_test.go
@@ -42,8 +42,8 @@
 	s.platform.apply(t, testConfig(4))
 	s.platform.apply(t, testConfig(12))
 	s.waitFor("version 12 is in force", func() bool { return n.version() == 12 })
-	n.applyConfig([]byte(`{"Version":11}`), "test")
-	n.applyConfig([]byte(`{"Version":`), "test")
+	n.applyConfig([]byte(`{"Version":11}`), 0, "test")
+	n.applyConfig([]byte(`{"Version":`), 0, "test")
 	if got, want := n.version(), cyclam.Version(12); got != want {
 		t.Errorf("version: got %d, want %d", got, want)
 	}
@@ -269,13 +269,13 @@
 }
 
 // Watch waits for the given time and returns no change.
-func (w *watchRecorder) Watch(ctx context.Context, from uint64, wait time.Duration, _ ...cyclam.Kind) (cyclam.ObjectChanges, error) {
+func (w *watchRecorder) Watch(ctx context.Context, from cyclam.Position, wait time.Duration, _ ...cyclam.Kind) (cyclam.ObjectChanges, error) {
 	w.waits = append(w.waits, wait)
 	if !sleep(ctx, wait) {
 		return cyclam.ObjectChanges{}, ctx.Err()
 	}
 	return cyclam.ObjectChanges{
-		Revision: from,
+		Position: from,
 	}, nil
 }
 
--- a/proxy/store.go
+++ b/proxy/store.go
@@ -30,8 +30,20 @@
 	return span/2 + rand.N(span/2+1)
 }
 
-// waitRetry waits for the retry delay or until ctx ends.
-func waitRetry(ctx context.Context, failures int) { sleep(ctx, retryDelay(failures)) }
+// relistSpread is the time over which the nodes read the store again after it has
+// started a new era, so that its rates hold.
+const relistSpread = 300 * time.Millisecond
+
+// waitRetry waits for the retry delay, until ctx ends, or until a new era shows that the
+// store is back: risen is from before the failed call, which may have hung meanwhile.
+func waitRetry(ctx context.Context, failures int, risen <-chan struct{}) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(retryDelay(failures)):
+	case <-risen:
+		sleep(ctx, rand.N(relistSpread))
+	}
+}
 
 // storeWatcher lists and watches one kind of objects in the platform's store.
 type storeWatcher struct {
@@ -59,14 +71,20 @@
 func (f *storeWatcher) run(ctx context.Context) {
 	failures := 0
 	lost := false
+	heard := uint64(0)
 	for ctx.Err() == nil {
+		_, risen := f.node.storeEras.Current()
 		list, err := f.list(ctx)
+		if errors.Is(err, cyclam.ErrStaleEra) {
+			sleep(ctx, rand.N(relistSpread))
+			continue
+		}
 		if err != nil {
 			if !lost {
 				f.node.Log.Warn("store-lost", "kind", f.kind, "error", err)
 			}
 			lost = true
-			waitRetry(ctx, failures)
+			waitRetry(ctx, failures, risen)
 			failures++
 			continue
 		}
@@ -74,30 +92,52 @@
 			f.node.Log.Info("store-regained", "kind", f.kind, "failures", failures)
 		}
 		failures, lost = 0, false
+		f.node.storeEras.Raise(list.Era)
 		f.onList(list)
 		f.notifyResponse()
-		err = f.watch(ctx, list.Revision)
+		var known uint64
+		known, risen = f.node.storeEras.Current()
+		if known > max(list.Era, heard) {
+			// The list may have been answered before the era began of which another node
+			// has told.
+			heard = known
+			sleep(ctx, rand.N(relistSpread))
+			continue
+		}
+		err = f.watch(ctx, list.Position, risen)
 		if err != nil && ctx.Err() == nil {
-			f.node.Log.Warn("watch-ended", "kind", f.kind, "error", err)
-			lost = !errors.Is(err, cyclam.ErrCompacted) && !errors.Is(err, errWatchBehind)
-			if lost {
-				waitRetry(ctx, 0)
-			}
+			lost = f.pauseAfterWatch(ctx, err, risen)
 		}
 	}
 }
 
+// pauseAfterWatch waits until the list may be read again after a watch has failed. It
+// reports whether the store did not answer.
+func (f *storeWatcher) pauseAfterWatch(ctx context.Context, err error, risen <-chan struct{}) bool {
+	if errors.Is(err, cyclam.ErrStaleEra) {
+		sleep(ctx, rand.N(relistSpread))
+		return false
+	}
+	f.node.Log.Warn("watch-ended", "kind", f.kind, "error", err)
+	if errors.Is(err, cyclam.ErrCompacted) || errors.Is(err, errWatchBehind) {
+		return false
+	}
+	waitRetry(ctx, 0, risen)
+	return true
+}
+
 func (f *storeWatcher) list(ctx context.Context) (cyclam.ObjectList, error) {
 	list, err := f.node.Platform.List(ctx, f.kind)
 	f.node.meters.countStoreCall("list", err)
 	return list, err
 }
 
-// watch follows changes from a revision on until a call fails.
-func (f *storeWatcher) watch(ctx context.Context, from uint64) error {
+// watch follows changes from a position on until a call fails or risen, which stands for
+// a new era, is closed.
+func (f *storeWatcher) watch(ctx context.Context, from cyclam.Position, risen <-chan struct{}) error {
 	var changedAt time.Time
 	for {
-		changes, err := f.watchOnce(ctx, from)
+		changes, err := f.watchOnce(ctx, from, risen)
 		f.node.meters.countStoreCall("watch", err)
 		if err != nil {
 			return err
@@ -106,7 +146,7 @@
 			f.onChange(e)
 		}
 		f.notifyResponse()
-		from = changes.Revision
+		from = changes.Position
 		if len(changes.Events) == 0 {
 			continue
 		}
@@ -123,18 +163,21 @@
 }
 
 // pollObject reads the object at onlyKey until it stops changing and returns its last
-// revision.
-func (f *storeWatcher) pollObject(ctx context.Context, from uint64) (uint64, error) {
+// position.
+func (f *storeWatcher) pollObject(ctx context.Context, from cyclam.Position) (cyclam.Position, error) {
 	for {
 		object, err := f.node.Platform.Get(ctx, *f.onlyKey)
 		f.node.meters.countStoreCall("get", err)
 		if err != nil {
 			return from, err
 		}
-		if object.Revision <= from {
+		if object.Era != from.Era {
+			return from, cyclam.ErrStaleEra
+		}
+		if !from.Before(object.Position) {
 			return from, nil
 		}
-		from = object.Revision
+		from = object.Position
 		f.onChange(cyclam.ObjectEvent{
 			Object: object,
 		})
@@ -160,18 +203,30 @@
 	}
 }
 
-// watchOnce makes one watch call, which checkWatch may cancel.
-func (f *storeWatcher) watchOnce(ctx context.Context, from uint64) (cyclam.ObjectChanges, error) {
+// watchOnce makes one watch call, which checkWatch or a new era may cancel.
+func (f *storeWatcher) watchOnce(ctx context.Context, from cyclam.Position, risen <-chan struct{}) (cyclam.ObjectChanges, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if f.checkWatch != nil {
 		go f.checkWatch(ctx, cancel)
 	}
+	go func() {
+		select {
+		case <-risen:
+			cancel(cyclam.ErrStaleEra)
+		case <-ctx.Done():
+		}
+	}()
 	changes, err := f.node.Platform.Watch(ctx, from, f.wait/2+rand.N(f.wait), f.kind)
-	if cause := context.Cause(ctx); err != nil && errors.Is(cause, errWatchBehind) {
+	cause := context.Cause(ctx)
+	switch {
+	case err == nil && changes.Era != from.Era:
+		return changes, cyclam.ErrStaleEra
+	case err != nil && (errors.Is(cause, errWatchBehind) || errors.Is(cause, cyclam.ErrStaleEra)):
 		return changes, cause
+	default:
+		return changes, err
 	}
-	return changes, err
 }
 
 // watchFleet keeps the view of the other nodes up to date.
@@ -188,41 +243,114 @@
 }
 
 // applyFleetList applies a complete list of the entries and removes nodes that are not
-// in it.
+// in it. A list that is older than what was applied is dropped.
 func (n *Node) applyFleetList(list cyclam.ObjectList) {
+	listed, entries := n.decodeList(list)
+	n.mu.Lock()
+	before := n.fleet.store.latest
+	first := !n.fleet.known
+	doubtful, newEra, ok := n.fleet.applyList(list.Position, entries, listed, time.Now())
+	missing, count := len(n.fleet.store.missing), len(n.fleet.members)
+	n.mu.Unlock()
+	if !ok {
+		n.meters.countDropped()
+		n.Log.Debug("list-dropped", "era", list.Era, "known", before.Era)
+		return
+	}
+	for _, o := range list.Objects {
+		if cyclam.InstanceName(o.Name) == n.self.Instance {
+			n.applyOwnEntry(cyclam.ObjectEvent{
+				Object: o,
+			})
+		}
+	}
+	n.applyListedNames(listed, list.Position, newEra)
+	for _, e := range entries {
+		n.logSeen(e)
+	}
+	for _, name := range doubtful {
+		go n.confirm(name)
+	}
+	if first {
+		n.Log.Info("fleet-known", "source", "store", "nodes", count)
+	}
+	if newEra {
+		n.Log.Info("store-era-changed",
+			"old", before.Era,
+			"new", list.Era,
+			"revision-before", before.Revision,
+			"revision-after", list.Revision,
+			"missing", missing,
+			"own-entry-listed", listed[n.self.Instance],
+		)
+		time.AfterFunc(missingGrace, func() { n.removeMissing(list.Era) })
+	}
+}
+
+// decodeList returns the names of all entries of a list, and the endpoints of those of
+// other nodes that can be read.
+func (n *Node) decodeList(list cyclam.ObjectList) (map[cyclam.InstanceName]bool, []storedEndpoint) {
 	listed := map[cyclam.InstanceName]bool{}
+	var entries []storedEndpoint
 	for _, o := range list.Objects {
-		listed[cyclam.InstanceName(o.Name)] = true
-		n.applyFleetEvent(cyclam.ObjectEvent{
-			Object: o,
+		name := cyclam.InstanceName(o.Name)
+		listed[name] = true
+		if name == n.self.Instance {
+			continue
+		}
+		endpoint, err := decodeEntry(o)
+		if err != nil {
+			n.Log.Warn("entry-unreadable", "peer", name, "error", err)
+			continue
+		}
+		entries = append(entries, storedEndpoint{
+			endpoint: endpoint,
+			at:       o.Position,
 		})
 	}
+	return listed, entries
+}
+
+func (n *Node) logSeen(e storedEndpoint) {
+	n.Log.Info("node-seen", "peer", e.endpoint.Instance, "state", e.endpoint.State.String(), "revision", e.at.Revision)
+}
+
+// removeMissing removes the nodes whose entries have not come back in an era.
+func (n *Node) removeMissing(era uint64) {
 	n.mu.Lock()
-	for name := range n.fleet.members {
-		if !listed[name] {
-			n.fleet.remove(name)
-		}
-	}
-	first := !n.fleet.known
-	n.fleet.known = true
-	count := len(n.fleet.members)
+	gone := n.fleet.removeMissing(era, time.Now())
 	n.mu.Unlock()
-	n.applyListedNames(listed)
-	if first {
-		n.Log.Info("fleet-known", "source", "store", "nodes", count)
+	for _, name := range gone {
+		n.Log.Info("node-gone", "peer", name, "cause", "entry missing after the store's return")
 	}
 }
 
+// confirm asks a node whether it runs, because only a copy of the store says so.
+func (n *Node) confirm(name cyclam.InstanceName) {
+	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
+	defer cancel()
+	err := n.exchangeWith(ctx, name)
+	n.Log.Info("node-doubted", "peer", name, "error", err)
+}
+
+// applyFleetEvent applies one change of an entry, unless it is outdated.
 func (n *Node) applyFleetEvent(e cyclam.ObjectEvent) {
 	name := cyclam.InstanceName(e.Object.Name)
-	if name == n.self.Instance {
+	now := time.Now()
+	n.mu.Lock()
+	current := n.fleet.store.accepts(e.Object.Position)
+	if current && e.Deleted && name != n.self.Instance {
+		current = n.fleet.removeDeleted(name, e.Object.Position, now)
+	}
+	n.mu.Unlock()
+	switch {
+	case !current:
+		n.noteDropped(e.Object)
+		return
+	case name == n.self.Instance:
 		n.applyOwnEntry(e)
 		return
-	}
-	if e.Deleted {
-		n.mu.Lock()
-		n.fleet.remove(name)
-		n.mu.Unlock()
+	case e.Deleted:
 		n.Log.Info("node-gone", "peer", name)
 		return
 	}
@@ -231,8 +359,21 @@
 		n.Log.Warn("entry-unreadable", "peer", name, "error", err)
 		return
 	}
+	seen := storedEndpoint{
+		endpoint: endpoint,
+		at:       e.Object.Position,
+	}
 	n.mu.Lock()
-	n.fleet.updateFromStore(endpoint, e.Object.Revision)
+	current = n.fleet.applyChange(seen, now)
 	n.mu.Unlock()
-	n.Log.Info("node-seen", "peer", name, "state", endpoint.State.String(), "revision", e.Object.Revision)
+	if !current {
+		n.noteDropped(e.Object)
+		return
+	}
+	n.logSeen(seen)
+}
+
+func (n *Node) noteDropped(o cyclam.Object) {
+	n.meters.countDropped()
+	n.Log.Debug("change-dropped", "peer", o.Name, "era", o.Era)
 }
