Delete the own entry from the copy when a node stops across eras

Cause: a node whose upstream has left deletes its entry when it stops. If the store had returned from a copy meanwhile, the deletion was guarded by a position of the older era and refused, so that the entry stayed in the store.

Change: on a stale era the entry is read again and deleted at its new position, both within the 0.3 s that a stop has for it.

Evidence: before, TestEntryDeletedAcrossEras: entries after the stop: got 1, want 0. With it, ./proxy passes with -race.

Why it works: only this node writes its entry, so what is read under its name in the new era is its own, whatever its revision.

--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -255,23 +255,40 @@
 // deleteTimeout bounds the deletion of the entry when the node stops.
 const deleteTimeout = 300 * time.Millisecond
 
-// deleteEntry deletes this node's entry if the upstream has been withdrawn.
+// deleteEntry deletes this node's entry if the upstream has been withdrawn. If the store
+// has returned from a copy since the entry was read, it is read again first.
 func (n *Node) deleteEntry(ctx context.Context) {
 	_, own := n.endpoint()
-	n.entry.mu.Lock()
-	at := n.entry.at
-	n.entry.mu.Unlock()
-	if !own.Leaving || at.IsZero() {
+	if !own.Leaving {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, deleteTimeout)
 	defer cancel()
+	deleted, err := n.deleteEntryOnce(ctx)
+	if errors.Is(err, cyclam.ErrStaleEra) {
+		n.readEntry(ctx)
+		deleted, err = n.deleteEntryOnce(ctx)
+	}
+	if deleted || err != nil {
+		n.Log.Info("entry-deleted", "error", err)
+	}
+}
+
+// deleteEntryOnce deletes the entry at its known position. It returns false if there is
+// none.
+func (n *Node) deleteEntryOnce(ctx context.Context) (bool, error) {
+	n.entry.mu.Lock()
+	at := n.entry.at
+	n.entry.mu.Unlock()
+	if at.IsZero() {
+		return false, nil
+	}
 	err := n.Platform.Delete(ctx, cyclam.Key{
 		Kind: cyclam.KindEndpoint,
 		Name: string(n.self.Instance),
 	}, at)
 	n.meters.countStoreCall("delete", err)
-	n.Log.Info("entry-deleted", "error", err)
+	return err == nil, err
 }
 
 // readEntry refreshes the known stored entry of this node.
--- a/proxy/reread_test.go
+++ b/proxy/reread_test.go
@@ -141,3 +141,28 @@
 	}
 	s.want(n, http.MethodGet, "/nowhere/", http.StatusNotFound)
 }
+
+// A node that stops after the store's return from a copy may hold a position of the older
+// era: its entry must be deleted from the copy all the same.
+func TestEntryDeletedAcrossEras(t *testing.T) {
+	n := newFleetNode()
+	platform := newMemPlatform()
+	n.Platform = platform
+	n.prepared.Store(true)
+	n.applyFleetList(listAt(platform.at))
+	if err := n.Withdraw("u1", time.Time{}); err != nil {
+		t.Fatal(err)
+	}
+	if err := n.writeEntry(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	platform.restore(platform.snapshot())
+	n.deleteEntry(t.Context())
+	list, err := platform.List(t.Context(), cyclam.KindEndpoint)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := len(list.Objects), 0; got != want {
+		t.Errorf("entries after the stop: got %d, want %d", got, want)
+	}
+}
