Only routes in regular use count in the service time of an upstream

Change: a route counts once it has had ten runs, the number after which its moving average rests on its own runs; until any has, the average over all runs holds as before. Why it works: a route in regular use soon has ten runs at each upstream, and the others leave the mean alone.

--- a/sched/sched.go
+++ b/sched/sched.go
@@ -67,11 +67,11 @@
 	leaving  bool
 	drainEnd time.Time
 	down     bool
-	// routeServiceTimes holds the moving average of the service time for each route,
-	// serviceTime their mean. An average over all runs would depend on which routes
-	// ran last.
-	serviceTime       time.Duration
-	routeServiceTimes map[string]time.Duration
+	// routes holds the service time of each route. serviceTime is the mean of those
+	// that have settled; an average over all runs, which it is until then, would
+	// depend on which routes ran last.
+	serviceTime time.Duration
+	routes      map[string]routeTime
 	// failureRate is the moving average of the fraction of failed runs.
 	failureRate float64
 	// externalLoad is the number of requests that the upstream reports as running
@@ -215,12 +215,16 @@
 	s.running = max(0, s.running-1)
 	if run.Ran && !run.Failed {
 		previous := s.expectedServiceTime(run.Route)
-		s.routeServiceTimes = maps.Clone(s.routeServiceTimes)
-		if s.routeServiceTimes == nil {
-			s.routeServiceTimes = map[string]time.Duration{}
+		runs := s.routes[run.Route].runs
+		s.routes = maps.Clone(s.routes)
+		if s.routes == nil {
+			s.routes = map[string]routeTime{}
 		}
-		s.routeServiceTimes[run.Route] = previous + time.Duration(serviceTimeWeight*float64(run.Took-previous))
-		s.serviceTime = mean(s.routeServiceTimes)
+		s.routes[run.Route] = routeTime{
+			average: movingAverage(previous, run.Took),
+			runs:    min(runs+1, settledRuns),
+		}
+		s.serviceTime = s.meanServiceTime(run.Took)
 	}
 	failed := 0.0
 	if run.Failed {
@@ -234,20 +238,42 @@
 	return s.dispatch(now)
 }
 
-// mean returns the mean of the times, of which there must be at least one.
-func mean(times map[string]time.Duration) time.Duration {
-	sum := time.Duration(0)
-	for _, t := range times {
-		sum += t
+// routeTime is the moving average of a route's service time and the number of runs that
+// it is based on, up to settledRuns.
+type routeTime struct {
+	average time.Duration
+	runs    int
+}
+
+// settledRuns is the number of runs from which a route's average counts. Routes that are
+// used less than that say little about the upstream's work.
+const settledRuns = 10
+
+func movingAverage(previous, took time.Duration) time.Duration {
+	return previous + time.Duration(serviceTimeWeight*float64(took-previous))
+}
+
+// meanServiceTime returns the mean of the settled routes after a run, or the moving
+// average over all runs if no route has settled.
+func (s State) meanServiceTime(took time.Duration) time.Duration {
+	sum, settled := time.Duration(0), 0
+	for _, r := range s.routes {
+		if r.runs == settledRuns {
+			sum += r.average
+			settled++
+		}
+	}
+	if settled == 0 {
+		return movingAverage(s.serviceTime, took)
 	}
-	return sum / time.Duration(len(times))
+	return sum / time.Duration(settled)
 }
 
 // expectedServiceTime returns a route's average service time, or that of all
 // routes if the route has none yet.
 func (s State) expectedServiceTime(route string) time.Duration {
-	if serviceTime, ok := s.routeServiceTimes[route]; ok {
-		return serviceTime
+	if r, ok := s.routes[route]; ok {
+		return r.average
 	}
 	return s.serviceTime
 }
--- a/sched/servicetime_test.go
+++ b/sched/servicetime_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -61,3 +62,17 @@
 		t.Errorf("service time: got %v, want at least %v", got, want)
 	}
 }
+
+// Requests on routes that are hardly used must not change the service time: an upstream
+// that reports less than its usual work takes keeps requests away from one that has just
+// joined.
+func TestServiceTimeIgnoresRareRoutes(t *testing.T) {
+	s := endRuns(newKnown(18), 100, "usual", 360*time.Millisecond)
+	want := s.Load(at(0)).ServiceTime
+	for i := range 20 {
+		s = endRuns(s, 3, fmt.Sprintf("rare-%d", i), 10*time.Millisecond)
+	}
+	if got := s.Load(at(0)).ServiceTime; got < want*9/10 {
+		t.Errorf("service time: got %v, want about %v", got, want)
+	}
+}
