--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
@@ -29,6 +30,8 @@
 	started bool
 	// accepted is set once the node has acknowledged the offer.
 	accepted bool
+	// leaving is set once the node has told that it is about to stop.
+	leaving bool
 	// suspectAfter is the number of interruptions after which the attempt is reported
 	// as suspect.
 	suspectAfter int
@@ -71,6 +74,10 @@
 	for {
 		completion, rest, err := a.runRemote(ctx, began)
 		if err == nil {
+			if a.leaving && rest == nil {
+				// The node does not stop before it knows that its answer has arrived.
+				a.revoke()
+			}
 			a.report(completion, rest)
 			return
 		}
@@ -136,14 +143,15 @@
 		}, nil)
 		return v, nil
 	}
-	j.attach()
+	reader := j.attach()
 	source := &jobReader{
-		ctx: ctx,
-		job: j,
+		ctx:    ctx,
+		job:    j,
+		cursor: reader,
 	}
 	completion, rest, err := a.collect(ctx, source, func() {
 		j.settle()
-		a.node.release(j)
+		a.node.release(j, reader)
 	})
 	if err != nil {
 		a.revoke()
@@ -201,11 +209,11 @@
 // nothing more is read; nil is allowed. The attempt is revoked if ctx ends before the
 // rest has been read.
 func (a *attempt) collect(ctx context.Context, source replyReader, finish func()) (cyclam.Completion, *answerRest, error) {
-	done := func() {
+	done := sync.OnceFunc(func() {
 		if finish != nil {
 			finish()
 		}
-	}
+	})
 	partial := &partialAnswer{}
 	for {
 		batch, err := source.Recv()
@@ -217,6 +225,7 @@
 			return cyclam.Completion{}, nil, err
 		}
 		a.node.updateLoad(a.target.Endpoint.Instance, batch.Load)
+		a.leaving = a.leaving || batch.Load.GetLeaving()
 		for _, reply := range batch.Replies {
 			if completion, ended := a.apply(partial, reply); ended {
 				done()
@@ -225,9 +234,12 @@
 		}
 		if len(partial.answer.Body) > answerBufferLimit {
 			return doneWith(partial.answer), &answerRest{
-				source:     source,
-				finish:     done,
-				keepAnswer: context.AfterFunc(ctx, a.revoke),
+				source: source,
+				finish: done,
+				keepAnswer: context.AfterFunc(ctx, func() {
+					done()
+					a.revoke()
+				}),
 			}, nil
 		}
 	}
@@ -316,15 +328,14 @@
 
 // jobReader reads replies of a job that runs on this node.
 type jobReader struct {
-	ctx context.Context
-	job *job
-	at  int
+	ctx    context.Context
+	job    *job
+	cursor *jobCursor
 }
 
 // Recv returns the next replies.
 func (r *jobReader) Recv() (*wire.Replies, error) {
-	ready, err := r.job.next(r.ctx, r.at)
-	r.at += len(ready)
+	ready, err := r.job.next(r.ctx, r.cursor)
 	if err == nil && len(ready) == 0 {
 		return nil, io.EOF
 	}
--- a/proxy/job.go
+++ b/proxy/job.go
@@ -26,9 +26,8 @@
 	log     []*wire.Reply
 	dropped int
 	// buffered is the number of body bytes in log; dropped is the number of replies
-	// removed from its front; read is the number of replies read so far.
+	// removed from its front.
 	buffered int
-	read     int
 	// wake is closed and replaced when the log or the read position changes.
 	wake chan struct{}
 	// committed is the bytes of the answer that are committed on the link's pacer and
@@ -36,15 +35,24 @@
 	committed int
 	ended     bool
 	endedAt   time.Time
-	// settled is set once no reader needs the replies any more: the last one has been
-	// read, or the sender has revoked the attempt.
+	// readAt is when a reader had passed on the last reply; its connection may have lost
+	// it. settled is set once no reader needs the replies any more: the sender is on this
+	// node or has revoked the attempt.
+	readAt  time.Time
 	settled bool
-	// readers is the number of streams that read the job; unreadSince is when the last
-	// one left.
-	readers     int
+	// readers are the streams that read the job; unreadSince is when the last one left.
+	readers     map[*jobCursor]bool
 	unreadSince time.Time
 }
 
+// jobCursor is the position of one stream that reads a job.
+type jobCursor struct {
+	// next is the index of the next reply, passed the number of replies that the stream
+	// has passed on.
+	next   int
+	passed int
+}
+
 // answerBufferLimit is the most bytes of an answer that are buffered for reading again.
 // A longer answer is streamed at the reader's pace.
 const answerBufferLimit = 1 << 20
@@ -66,6 +74,7 @@
 		arrived:  now,
 		deadline: now.Add(remaining),
 		wake:     make(chan struct{}),
+		readers:  map[*jobCursor]bool{},
 	}
 	ctx, stopTimer := context.WithDeadline(ctx, j.deadline)
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -76,8 +85,8 @@
 	return j
 }
 
-// append adds a reply to the log; last marks the final one. Replies after the final one
-// are ignored.
+// append adds a reply to the log; last marks the final one, with which the request is
+// released. Replies after the final one are ignored.
 func (j *job) append(reply *wire.Reply, last bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -89,6 +98,7 @@
 	j.ended = last
 	if last {
 		j.endedAt = time.Now()
+		j.offer.Body, j.offer.Headers = nil, nil
 	}
 	j.signal()
 }
@@ -99,9 +109,9 @@
 	j.wake = make(chan struct{})
 }
 
-// throttle drops replies that have been read and blocks while more than
-// answerBufferLimit bytes are unread. Without a reader nothing is dropped, so that the
-// job can be resumed.
+// throttle drops replies that all readers have passed on and blocks while more than
+// answerBufferLimit bytes are left. Without a reader nothing is dropped, so that the job
+// can be resumed.
 func (j *job) throttle() error {
 	for {
 		j.mu.Lock()
@@ -109,7 +119,7 @@
 			j.mu.Unlock()
 			return nil
 		}
-		for j.readers > 0 && j.buffered > answerBufferLimit && j.dropped < j.read {
+		for passed := j.passed(); j.buffered > answerBufferLimit && j.dropped < passed; {
 			j.buffered -= len(j.log[0].GetChunk())
 			j.log = j.log[1:]
 			j.dropped++
@@ -127,32 +137,46 @@
 	}
 }
 
+// passed returns the number of replies that all readers have passed on. The caller holds
+// mu.
+func (j *job) passed() int {
+	passed, first := 0, true
+	for r := range j.readers {
+		if first || r.passed < passed {
+			passed, first = r.passed, false
+		}
+	}
+	return passed
+}
+
 // batchLimit is the most replies sent in one message.
 const batchLimit = 16
 
-// next returns the available replies from index at on and blocks until there is one. No
-// replies and no error mean that the job has ended before at.
-func (j *job) next(ctx context.Context, at int) ([]*wire.Reply, error) {
+// next returns the available replies that r has not read and blocks until there is one.
+// It takes those that it returned before as passed on. No replies and no error mean that
+// the job has ended.
+func (j *job) next(ctx context.Context, r *jobCursor) ([]*wire.Reply, error) {
 	for {
 		j.mu.Lock()
-		index := at - j.dropped
+		if r.passed < r.next {
+			r.passed = r.next
+			if j.buffered > answerBufferLimit {
+				j.signal()
+			}
+		}
+		index := r.next - j.dropped
 		if index < 0 {
 			j.mu.Unlock()
 			return nil, errNotRetained
 		}
 		if index < len(j.log) {
 			ready := slices.Clone(j.log[index:min(len(j.log), index+batchLimit)])
-			if end := at + len(ready); end > j.read {
-				j.read = end
-				if j.buffered > answerBufferLimit {
-					j.signal()
-				}
-			}
+			r.next += len(ready)
 			j.mu.Unlock()
 			return ready, nil
 		}
 		if j.ended {
-			j.settled = true
+			j.readAt = time.Now()
 			j.mu.Unlock()
 			return nil, nil
 		}
@@ -173,38 +197,41 @@
 	j.settled = true
 }
 
-// isSettled reports whether no reader needs the replies any more.
-func (j *job) isSettled() bool {
+// delivered reports whether the sender has all replies: it has said so, or has not come
+// back for readRetention after they had been passed on.
+func (j *job) delivered(now time.Time) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return j.settled
+	return j.settled || !j.readAt.IsZero() && now.Sub(j.readAt) > readRetention
 }
 
-// attach adds a reader.
-func (j *job) attach() {
+// attach adds a reader, which starts at the first reply.
+func (j *job) attach() *jobCursor {
 	j.mu.Lock()
-	j.readers++
-	j.mu.Unlock()
+	defer j.mu.Unlock()
+	r := &jobCursor{}
+	j.readers[r] = true
+	return r
 }
 
 // detach removes a reader and reports whether none is left while the job is still
 // running. For an ended job, the retention of its answer starts anew.
-func (j *job) detach() bool {
+func (j *job) detach(r *jobCursor) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.readers--
+	delete(j.readers, r)
 	j.unreadSince = time.Now()
 	if j.ended {
 		j.endedAt = j.unreadSince
 	}
-	return j.readers == 0 && !j.ended
+	return len(j.readers) == 0 && !j.ended
 }
 
 // unreadFor returns how long the job has had no reader; zero if it has one.
 func (j *job) unreadFor(now time.Time) time.Duration {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.readers > 0 || j.unreadSince.IsZero() {
+	if len(j.readers) > 0 || j.unreadSince.IsZero() {
 		return 0
 	}
 	return now.Sub(j.unreadSince)
@@ -217,13 +244,6 @@
 	return j.ended
 }
 
-// unread reports whether the job has not ended and has no reader.
-func (j *job) unread() bool {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return j.readers == 0 && !j.ended
-}
-
 // resumable reports whether a new reader can still read all replies.
 func (j *job) resumable() bool {
 	j.mu.Lock()
--- a/proxy/link.go
+++ b/proxy/link.go
@@ -37,8 +37,7 @@
 	// failingConnectTimeout replaces connectTimeout if the previous connect failed.
 	failingConnectTimeout = 60 * time.Millisecond
 	// maxConnectPause bounds the pause between two connects of a broken link. Attempts
-	// and revocations wait for it, and a revocation must arrive within half a second of
-	// the link's return.
+	// and revocations wait for it.
 	maxConnectPause = 250 * time.Millisecond
 	// silenceTimeout is how long a link with attempts in flight may receive nothing
 	// before it is probed.
@@ -277,8 +276,9 @@
 	l.reset(conn, "no acknowledgement")
 }
 
-// monitor probes the link while it is silent and resets it if the probe fails: a
-// connection may stop working without a TCP reset although new ones can be established.
+// monitor probes the link while it is silent and resets it if nothing is received during
+// a failed probe: a connection may stop working without a TCP reset although new ones can
+// be established.
 func (l *link) monitor() {
 	for {
 		time.Sleep(monitorInterval)
@@ -293,15 +293,21 @@
 		if conn == nil || silent < silenceTimeout || conn.GetState() != connectivity.Ready {
 			continue
 		}
+		probed := time.Now()
 		ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
 		_, err := wire.NewDoorClient(conn).Exchange(ctx, &wire.Knowledge{
 			Version: uint64(l.node.version()),
 		})
 		cancel()
-		if err != nil {
-			l.reset(conn, err.Error())
+		if err == nil {
+			l.markReceived()
 			continue
 		}
-		l.markReceived()
+		l.mu.Lock()
+		busy := l.lastReceived.After(probed)
+		l.mu.Unlock()
+		if !busy {
+			l.reset(conn, err.Error())
+		}
 	}
 }
--- a/proxy/longanswer_test.go
+++ b/proxy/longanswer_test.go
@@ -58,20 +58,20 @@
 		RemainingUs: time.Minute.Microseconds(),
 	}, cyclam.AttemptID{}, time.Now())
 	const chunks = 900
-	j.attach()
+	reader := j.attach()
 	for range chunks {
 		j.append(chunk(1<<10), false)
 	}
 	for at := 0; at < chunks; {
-		ready, err := j.next(t.Context(), at)
+		ready, err := j.next(t.Context(), reader)
 		if err != nil {
 			t.Fatal(err)
 		}
 		at += len(ready)
 	}
-	j.detach()
-	j.attach()
-	ready, err := j.next(t.Context(), 0)
+	j.detach(reader)
+	reader = j.attach()
+	ready, err := j.next(t.Context(), reader)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -80,7 +80,7 @@
 	defer stop.Stop()
 	// The error tells that the upstream was held back, which is right.
 	_ = j.throttle()
-	if _, err := j.next(t.Context(), len(ready)); err != nil {
+	if _, err := j.next(t.Context(), reader); err != nil {
 		t.Errorf("resumed reader at reply %d: got %v, want no error", len(ready), err)
 	}
 }
--- a/proxy/node.go
+++ b/proxy/node.go
@@ -59,6 +59,8 @@
 	configFreshAt   atomic.Int64
 	stopping        atomic.Bool
 	callersInFlight atomic.Int64
+	// revocations is the number of revocations that have not been confirmed.
+	revocations atomic.Int64
 
 	mu     sync.Mutex
 	fleet  fleet
@@ -206,6 +208,7 @@
 			if now.Sub(lastExpiry) >= time.Second {
 				lastExpiry = now
 				n.origin.Expire()
+				n.cancelAbandoned(now)
 				n.expireJobs(now)
 				go n.deleteUnreachable(ctx, now)
 			}
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -7,6 +7,7 @@
 	cyclam "github.com/cyclamensaddle/cyclam"
 	"github.com/cyclamensaddle/cyclam/codec"
 	"github.com/cyclamensaddle/cyclam/wire"
+	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -58,15 +59,17 @@
 			Replies: []*wire.Reply{final},
 		})
 	}
-	j.attach()
-	defer n.release(j)
+	reader := j.attach()
+	defer n.release(j, reader)
 	sent := 0
-	for at := 0; ; {
-		ready, err := j.next(stream.Context(), at)
+	for {
+		ready, err := j.next(stream.Context(), reader)
+		if errors.Is(err, errNotRetained) {
+			return stream.Send(n.batch([]*wire.Reply{ended(cyclam.ReasonAnswerNotRetained)}))
+		}
 		if err != nil || len(ready) == 0 {
 			return err
 		}
-		at += len(ready)
 		sent += bodySize(ready)
 		for _, part := range splitChunks(ready, sent >= largeAnswerBytes) {
 			n.pacer.uncommit(j.uncommit(bodySize(part)))
--- a/proxy/retain.go
+++ b/proxy/retain.go
@@ -9,13 +9,18 @@
 	// refusalRetention is how long a refused job is kept. Afterwards its attempt id is
 	// enough to answer a sender that resumes it.
 	refusalRetention = 700 * time.Millisecond
-	// retainedLimit bounds the bodies of retained answers, in bytes.
+	// readRetention is how long a sender may take to notice that the connection has lost
+	// the replies that were passed on, and to come back.
+	readRetention = silenceTimeout + monitorInterval + pingTimeout + connectTimeout
+	// retainedLimit bounds the retained answers, in bytes; jobOverhead is counted for
+	// each beside its body.
 	retainedLimit = 8 << 20
+	jobOverhead   = 4 << 10
 )
 
-// expireJobs discards ended jobs without readers whose senders can't resume them any
-// more, and the oldest answers beyond retainedLimit, settled ones first. Their attempt
-// ids are kept, so that they don't run again.
+// expireJobs discards ended jobs without readers whose senders don't resume them any
+// more, and the oldest answers beyond retainedLimit, read ones first. Their attempt ids
+// are kept, so that they don't run again.
 func (n *Node) expireJobs(now time.Time) {
 	n.schedMu.Lock()
 	defer n.schedMu.Unlock()
@@ -25,7 +30,8 @@
 		r, ok := j.retained()
 		switch {
 		case !ok:
-		case r.refused && now.Sub(r.endedAt) > refusalRetention, !r.resumable, now.After(j.deadline):
+		case j.delivered(now), !r.resumable, now.After(j.deadline),
+			r.refused && now.Sub(r.endedAt) > refusalRetention:
 			n.discard(r)
 		default:
 			held = append(held, r)
@@ -55,7 +61,7 @@
 		return
 	}
 	n.fences.discarded.add(attempt)
-	if r.answered && !r.settled {
+	if r.answered && !r.read {
 		n.meters.discardedUnread.Inc(1)
 	}
 }
@@ -67,18 +73,18 @@
 	// refused is set if the attempt did not run, answered if its answer is whole.
 	refused  bool
 	answered bool
-	// settled is set once no reader needs the replies any more, resumable while one can
-	// still read all of them.
-	settled   bool
+	// read is set once the last reply has been passed on or nobody needs it, resumable
+	// while a reader can still read all replies.
+	read      bool
 	resumable bool
-	// bytes is the size of the body that is buffered.
+	// bytes is the memory that the job counts for.
 	bytes int
 }
 
 // compare orders jobs by which is discarded first.
 func (r retainedJob) compare(other retainedJob) int {
-	if r.settled != other.settled {
-		if r.settled {
+	if r.read != other.read {
+		if r.read {
 			return -1
 		}
 		return 1
@@ -90,7 +96,7 @@
 func (j *job) retained() (retainedJob, bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if !j.ended || j.readers > 0 {
+	if !j.ended || len(j.readers) > 0 {
 		return retainedJob{}, false
 	}
 	last := j.log[len(j.log)-1]
@@ -99,8 +105,8 @@
 		endedAt:   j.endedAt,
 		refused:   last.GetDeclined() != nil,
 		answered:  last.GetEnd() != nil && last.GetEnd().Reason == "",
-		settled:   j.settled,
+		read:      j.settled || !j.readAt.IsZero(),
 		resumable: j.dropped == 0,
-		bytes:     j.buffered,
+		bytes:     j.buffered + jobOverhead,
 	}, true
 }
--- a/proxy/retain_test.go
+++ b/proxy/retain_test.go
@@ -18,6 +18,8 @@
 	type testJob struct {
 		refused bool
 		settled bool
+		// reading is set if a reader is attached, read if one has read the last reply.
+		reading bool
 		read    bool
 		bytes   int
 		// age is the time since the end; left is the time to the deadline.
@@ -32,15 +34,18 @@
 	}{
 		{name: "before the deadline", jobs: []testJob{{age: 2 * time.Second, left: time.Second}}, kept: []int{0}},
 		{name: "past the deadline", jobs: []testJob{{age: 2 * time.Second, left: -time.Millisecond}}},
-		{name: "being read", jobs: []testJob{{age: 2 * time.Second, left: -time.Second, read: true}}, kept: []int{0}},
+		{name: "being read", jobs: []testJob{{age: 2 * time.Second, left: -time.Second, reading: true}}, kept: []int{0}},
+		{name: "read just now", jobs: []testJob{{read: true, age: time.Second, left: time.Second}}, kept: []int{0}},
+		{name: "read long ago", jobs: []testJob{{read: true, age: 2 * time.Second, left: time.Second}}},
+		{name: "not needed any more", jobs: []testJob{{settled: true, left: time.Second}}},
 		{name: "refused just now", jobs: []testJob{{refused: true, left: time.Second}}, kept: []int{0}},
 		{name: "refused", jobs: []testJob{{refused: true, age: time.Second, left: time.Second}}, refused: []int{0}},
 		{
 			name: "beyond the limit, read ones first",
 			jobs: []testJob{
 				{bytes: 5 * mib, age: 3 * time.Second, left: time.Second},
-				{bytes: 3 * mib, age: 2 * time.Second, left: time.Second, settled: true},
-				{bytes: 2 * mib, age: time.Second, left: time.Second},
+				{bytes: 3 * mib, age: time.Second, left: time.Second, read: true},
+				{bytes: 2 * mib, age: 2 * time.Second, left: time.Second},
 			},
 			kept: []int{0, 2},
 		},
@@ -74,6 +79,9 @@
 				j.append(last, true)
 				j.endedAt, j.settled = now.Add(-spec.age), spec.settled
 				if spec.read {
+					j.readAt = j.endedAt
+				}
+				if spec.reading {
 					j.attach()
 				}
 				n.jobs[attempt] = j
--- a/proxy/revoke.go
+++ b/proxy/revoke.go
@@ -23,7 +23,9 @@
 		}
 		return
 	}
+	a.node.revocations.Add(1)
 	go func() {
+		defer a.node.revocations.Add(-1)
 		ctx, cancel := context.WithDeadline(context.Background(), a.deadline.Add(revokeTimeout))
 		defer cancel()
 		for failures := 0; ; failures++ {
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -300,10 +300,11 @@
 		n.fences.revoked.add(attempt)
 		return true
 	}
+	// The sender needs no reply, so a stop does not wait for it to read one.
 	j.settle()
 	state, queued := n.scheduler.Withdraw(attempt)
 	if !queued {
-		if !j.hasEnded() {
+		if !j.hasEnded() && j.ctx.Err() == nil {
 			n.meters.cancelledRevoked.Inc(1)
 		}
 		j.cancel(errRevoked)
@@ -322,20 +323,20 @@
 // that has not started is withdrawn, so that its sender can try another node. A run
 // continues, because its sender resumes the attempt until the deadline and revokes it if
 // the caller leaves.
-func (n *Node) release(j *job) {
+func (n *Node) release(j *job, r *jobCursor) {
 	n.pacer.uncommit(j.uncommit(math.MaxInt))
-	if !j.detach() {
+	if !j.detach(r) {
 		return
 	}
-	time.AfterFunc(unreadGrace, func() { n.withdrawUnread(j) })
+	time.AfterFunc(unreadGrace, func() { n.dropUnread(j) })
 }
 
-// withdrawUnread refuses a job that has no reader and waits for a slot. It cancels a run
-// whose answer no reader can receive whole any more.
-func (n *Node) withdrawUnread(j *job) {
+// dropUnread refuses a job that has had no reader for unreadGrace and waits for a slot.
+// It cancels a run whose answer no reader can receive whole any more.
+func (n *Node) dropUnread(j *job) {
 	n.schedMu.Lock()
 	defer n.schedMu.Unlock()
-	if !j.unread() {
+	if j.hasEnded() || j.unreadFor(time.Now()) < unreadGrace {
 		return
 	}
 	if state, queued := n.scheduler.Withdraw(j.attempt); queued {
@@ -344,8 +345,34 @@
 		return
 	}
 	if !j.resumable() {
-		n.meters.cancelledUnread.Inc(1)
-		j.cancel(errUnread)
+		n.cancelUnread(j)
+	}
+}
+
+func (n *Node) cancelUnread(j *job) {
+	n.meters.cancelledUnread.Inc(1)
+	j.settle()
+	j.cancel(errUnread)
+}
+
+// cancelAbandoned cancels the runs without a reader whose senders' processes are known to
+// have ended: nobody resumes or revokes them.
+func (n *Node) cancelAbandoned(now time.Time) {
+	var unread []*job
+	n.schedMu.Lock()
+	for _, j := range n.jobs {
+		if j.unreadFor(now) >= unreadGrace && !j.delivered(now) {
+			unread = append(unread, j)
+		}
+	}
+	n.schedMu.Unlock()
+	for _, j := range unread {
+		n.mu.Lock()
+		_, ended := n.fleet.store.ended[j.attempt.Sender]
+		n.mu.Unlock()
+		if ended {
+			n.cancelUnread(j)
+		}
 	}
 }
 
--- a/proxy/stop.go
+++ b/proxy/stop.go
@@ -69,16 +69,16 @@
 }
 
 // drained reports whether no caller waits, nothing runs or waits at the local upstream,
-// and all senders have their answers.
+// all senders have their answers, and all revocations are confirmed.
 func (n *Node) drained() bool {
 	n.schedMu.Lock()
 	defer n.schedMu.Unlock()
-	if n.callersInFlight.Load() > 0 || n.scheduler.Busy() {
+	if n.callersInFlight.Load() > 0 || n.revocations.Load() > 0 || n.scheduler.Busy() {
 		return false
 	}
 	now := time.Now()
 	for _, j := range n.jobs {
-		if now.Before(j.deadline) && !j.isSettled() {
+		if now.Before(j.deadline) && !j.delivered(now) {
 			return false
 		}
 	}
