Don't delete the entry of another process when a node stops across eras

Change: the entry read is deleted only if it has this process's incarnation.

Evidence: without the check, TestEntryDeletedAcrossEras/entry_of_another_process: entries after the stop: got 0, want 1. With it, ./proxy passes with -race.

Why it works: an incarnation is drawn at each start, so no other process of the instance has it.

--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -256,7 +256,8 @@
 const deleteTimeout = 300 * time.Millisecond
 
 // deleteEntry deletes this node's entry if the upstream has been withdrawn. If the store
-// has returned from a copy since the entry was read, it is read again first.
+// has returned from a copy since the entry was read, it is read again first: another
+// process of this instance may have written it.
 func (n *Node) deleteEntry(ctx context.Context) {
 	_, own := n.endpoint()
 	if !own.Leaving {
@@ -267,6 +268,9 @@
 	deleted, err := n.deleteEntryOnce(ctx)
 	if errors.Is(err, cyclam.ErrStaleEra) {
 		n.readEntry(ctx)
+		if !n.ownsEntry() {
+			return
+		}
 		deleted, err = n.deleteEntryOnce(ctx)
 	}
 	if deleted || err != nil {
@@ -274,6 +278,13 @@
 	}
 }
 
+// ownsEntry reports whether this process wrote the stored entry.
+func (n *Node) ownsEntry() bool {
+	n.entry.mu.Lock()
+	defer n.entry.mu.Unlock()
+	return n.entry.stored.Incarnation == uint64(n.self.Incarnation)
+}
+
 // deleteEntryOnce deletes the entry at its known position. It returns false if there is
 // none.
 func (n *Node) deleteEntryOnce(ctx context.Context) (bool, error) {
--- a/proxy/reread_test.go
+++ b/proxy/reread_test.go
@@ -143,26 +143,45 @@
 }
 
 // A node that stops after the store's return from a copy may hold a position of the older
-// era: its entry must be deleted from the copy all the same.
+// era: its entry must be deleted from the copy all the same, but not that of another
+// process of the instance.
 func TestEntryDeletedAcrossEras(t *testing.T) {
-	n := newFleetNode()
-	platform := newMemPlatform()
-	n.Platform = platform
-	n.prepared.Store(true)
-	n.applyFleetList(listAt(platform.at))
-	if err := n.Withdraw("u1", time.Time{}); err != nil {
-		t.Fatal(err)
-	}
-	if err := n.writeEntry(t.Context()); err != nil {
-		t.Fatal(err)
-	}
-	platform.restore(platform.snapshot())
-	n.deleteEntry(t.Context())
-	list, err := platform.List(t.Context(), cyclam.KindEndpoint)
-	if err != nil {
-		t.Fatal(err)
+	tests := []struct {
+		name  string
+		other bool
+		want  int
+	}{
+		{name: "own entry", other: false, want: 0},
+		{name: "entry of another process", other: true, want: 1},
 	}
-	if got, want := len(list.Objects), 0; got != want {
-		t.Errorf("entries after the stop: got %d, want %d", got, want)
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			n := newFleetNode()
+			platform := newMemPlatform()
+			n.Platform = platform
+			n.prepared.Store(true)
+			n.applyFleetList(listAt(platform.at))
+			if err := n.Withdraw("u1", time.Time{}); err != nil {
+				t.Fatal(err)
+			}
+			if err := n.writeEntry(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			copied := platform.snapshot()
+			if test.other {
+				for key, o := range copied.objects {
+					copied.objects[key] = storedEntry(t, o.Name, 77, cyclam.EndpointReady, o.Position)
+				}
+			}
+			platform.restore(copied)
+			n.deleteEntry(t.Context())
+			list, err := platform.List(t.Context(), cyclam.KindEndpoint)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := len(list.Objects); got != test.want {
+				t.Errorf("entries after the stop: got %d, want %d", got, test.want)
+			}
+		})
 	}
 }
