Test the exchange with a node of the build before

Cause: the build before states neither era nor digest, and bases a difference on a version number alone; that a node with another text of the number still gets the newer version from it was not tested.

Change: TestExchangeWithOlderBuild exchanges with a stand-in for such a node, once with the same and once with another text of the base.

Evidence: passes; without the request for the whole configuration the second case fails: got version 10 with timeout 3s, want 11 with 2s.

Why it works: the difference can't be decoded on the other text, and the whole is asked for by version zero, which the build before answers too.

--- a/proxy/reissue_test.go
+++ b/proxy/reissue_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"testing"
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/wire"
 	"github.com/rcrowley/go-metrics"
+	"google.golang.org/grpc"
 )
 
 // configSpec returns a configuration whose routes have the given timeout.
@@ -164,3 +167,51 @@
 		return timeoutInForce(nodes[0]) == 7*time.Second && timeoutInForce(nodes[1]) == 7*time.Second
 	})
 }
+
+// olderPeer exchanges knowledge as a node of the build before does: without eras and
+// digests.
+type olderPeer struct {
+	wire.DoorClient
+	node *Node
+}
+
+// Exchange answers by version alone.
+func (p *olderPeer) Exchange(_ context.Context, k *wire.Knowledge, _ ...grpc.CallOption) (*wire.Knowledge, error) {
+	reply := p.node.knowledge(configID{
+		version: cyclam.Version(k.Version),
+	}, false)
+	reply.StoreEra, reply.ConfigEra, reply.ConfigDigest = 0, 0, 0
+	return reply, nil
+}
+
+// A node of the build before bases a difference on a version number alone. If this node
+// has another text of it, it must still get the newer version from there.
+func TestExchangeWithOlderBuild(t *testing.T) {
+	tests := []struct {
+		name string
+		held time.Duration
+	}{
+		{name: "same text of the base", held: 2 * time.Second},
+		{name: "other text of the base", held: 3 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			older, n := newFleetNode(), newFleetNode()
+			older.applyConfig(configSpec(t, 10, 2*time.Second), 0, "store")
+			older.applyConfig(configSpec(t, 11, 2*time.Second), 0, "store")
+			n.applyConfig(configSpec(t, 10, test.held), 2, "store")
+			n.storeEras.Raise(2)
+			if err := n.exchange(t.Context(), &olderPeer{
+				node: older,
+			}); err != nil {
+				t.Fatal(err)
+			}
+			if got, want := n.version(), cyclam.Version(11); got != want || timeoutInForce(n) != 2*time.Second {
+				t.Errorf("got version %d with timeout %v, want %d with 2s", got, timeoutInForce(n), want)
+			}
+			if got, _ := n.storeEras.Current(); got != 2 {
+				t.Errorf("era: got %d, want 2", got)
+			}
+		})
+	}
+}
