Add a stand-in of the metadata store that returns from an older copy

Cause: no test had a store that loses what it has acknowledged, so nothing showed what a node does when revisions go back and are given out again.

--- /dev/null
+++ b/stand/mstore/fault.go
@@ -0,0 +1,65 @@
+package mstore
+
+import (
+	"net/http"
+	"time"
+)
+
+// Fault describes how the store fails its clients. The zero value is no fault.
+type Fault struct {
+	// Status answers every call with this status without doing anything.
+	Status int
+	// Reset closes the connection of every call without an answer.
+	Reset bool
+	// Silent leaves every call without an answer until the client gives up.
+	Silent bool
+	// LoseAnswers is how many of the next writes take effect but have their connection
+	// closed in place of an answer.
+	LoseAnswers int
+	// Delay holds answers after the call has taken effect. A delayed answer can be of an
+	// older era than the store.
+	Delay time.Duration
+}
+
+// refuses reports whether calls are not executed.
+func (f Fault) refuses() bool { return f.Status != 0 || f.Reset || f.Silent }
+
+// refuse fails a call that is not executed.
+func (f Fault) refuse(w http.ResponseWriter, r *http.Request, era uint64) {
+	switch {
+	case f.Silent:
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	case f.Reset:
+		panic(http.ErrAbortHandler)
+	default:
+		writeAnswer(w, answer{
+			status: f.Status,
+			era:    era,
+		})
+	}
+}
+
+// faultOf returns the fault that a client meets. The caller holds mu.
+func (s *Server) faultOf(client string) Fault {
+	if s.fault != (Fault{}) {
+		return s.fault
+	}
+	return s.clientFaults[client]
+}
+
+// takeLostAnswer reports whether to lose the answer to a write, and counts it. The
+// caller holds mu.
+func (s *Server) takeLostAnswer(client string) bool {
+	if s.fault.LoseAnswers > 0 {
+		s.fault.LoseAnswers--
+		return true
+	}
+	f := s.clientFaults[client]
+	if f.LoseAnswers == 0 {
+		return false
+	}
+	f.LoseAnswers--
+	s.clientFaults[client] = f
+	return true
+}
