Let the store's stand-in answer without an era that can be used

Cause: an answer that carries no era, one that can't be read or a lower one is bad input that a client has to bear; the stand-in could not send it. Change: Fault.Era replaces the era in the answers to all clients or to one; EraMissing leaves the header out. Evidence: three new rows of TestFaults pass under the race detector.

--- a/stand/mstore/fault.go
+++ b/stand/mstore/fault.go
@@ -1,7 +1,9 @@
 package mstore
 
 import (
+	"encoding/json"
 	"net/http"
+	"strconv"
 	"time"
 )
 
@@ -19,8 +21,13 @@
 	// Delay holds answers after the call has taken effect. A delayed answer can be of an
 	// older era than the store.
 	Delay time.Duration
+	// Era, if not empty, is sent in place of the era; EraMissing leaves the header out.
+	Era string
 }
 
+// EraMissing is the value of Fault.Era for answers without an era.
+const EraMissing = "-"
+
 // refuses reports whether calls are not executed.
 func (f Fault) refuses() bool { return f.Status != 0 || f.Reset || f.Silent }
 
@@ -33,13 +40,27 @@
 	case f.Reset:
 		panic(http.ErrAbortHandler)
 	default:
-		writeAnswer(w, answer{
+		f.writeAnswer(w, answer{
 			status: f.Status,
 			era:    era,
 		})
 	}
 }
 
+// writeAnswer writes an answer with the era that the fault lets through.
+func (f Fault) writeAnswer(w http.ResponseWriter, a answer) {
+	switch f.Era {
+	case "":
+		w.Header().Set(EraHeader, strconv.FormatUint(a.era, 10))
+	case EraMissing:
+	default:
+		w.Header().Set(EraHeader, f.Era)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(a.status)
+	_ = json.NewEncoder(w).Encode(a.body)
+}
+
 // faultOf returns the fault that a client meets. The caller holds mu.
 func (s *Server) faultOf(client string) Fault {
 	if s.fault != (Fault{}) {
--- a/stand/mstore/http.go
+++ b/stand/mstore/http.go
@@ -38,13 +38,6 @@
 	body   any
 }
 
-func writeAnswer(w http.ResponseWriter, a answer) {
-	w.Header().Set(EraHeader, strconv.FormatUint(a.era, 10))
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(a.status)
-	_ = json.NewEncoder(w).Encode(a.body)
-}
-
 // ServeHTTP serves a call of a client without a name.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.serve(w, r, "") }
 
@@ -93,7 +86,7 @@
 		case <-r.Context().Done():
 		}
 	}
-	writeAnswer(w, a)
+	fault.writeAnswer(w, a)
 }
 
 // countCall counts a call. The caller holds mu.
--- a/stand/mstore/mstore_test.go
+++ b/stand/mstore/mstore_test.go
@@ -303,6 +303,9 @@
 		{name: "silent", fault: Fault{Silent: true}, client: "own"},
 		{name: "answer lost", fault: Fault{LoseAnswers: 1}, stored: true, client: "own"},
 		{name: "answer late", fault: Fault{Delay: 100 * time.Millisecond}, status: 200, era: "1", stored: true, client: "own"},
+		{name: "no era", fault: Fault{Era: EraMissing}, status: 200, stored: true, client: "own"},
+		{name: "unreadable era", fault: Fault{Era: "x"}, status: 200, era: "x", stored: true, client: "own"},
+		{name: "unreadable era of an error", fault: Fault{Era: "x", Status: 503}, status: 503, era: "x", client: "own"},
 		{name: "of another client", fault: Fault{Status: 503}, status: 200, era: "1", stored: true, client: "other"},
 	}
 	for _, test := range tests {
