--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,10 @@
 BIN := bin
 CHECKS ?= 5000
 SEED ?= $(shell date +%s)
+SEEDS ?= 20
 SKIP ?=
 
-.PHONY: build demo test fuzz bench reducer generate ci
+.PHONY: build demo test drill fuzz bench reducer generate ci
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -17,6 +18,11 @@
 test:
 	go test -race -timeout 30m $(if $(SKIP),-skip '$(SKIP)') ./...
 
+# drill runs the real program while the store returns from older copies of itself, with
+# SEEDS seeds from SEED on. It prints the seeds.
+drill:
+	go test ./drill -run '^TestStoreRestore$$' -timeout 120m -v -seed $(SEED) -seeds $(SEEDS)
+
 # fuzz runs the property tests with CHECKS random cases, then the fuzz targets.
 # It prints the seed; make fuzz SEED=N repeats the same cases.
 fuzz:
