Restore the store's stand-in from a copy taken by a test, and hold answers

Cause: a test of the client in package platform needs the copy of an exact moment and an answer that is held until the test lets it go; an age in time and a delay make it depend on the machine. Change: Copy and RestoreCopy, on which Restore now rests, and Fault.Hold.

--- a/stand/mstore/fault.go
+++ b/stand/mstore/fault.go
@@ -1,6 +1,7 @@
 package mstore
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -21,6 +22,8 @@
 	// Delay holds answers after the call has taken effect. A delayed answer can be of an
 	// older era than the store.
 	Delay time.Duration
+	// Hold, if set, holds answers in the same way until it is closed.
+	Hold <-chan struct{}
 	// Era, if not empty, is sent in place of the era; EraMissing leaves the header out.
 	Era string
 }
@@ -47,6 +50,22 @@
 	}
 }
 
+// hold waits until an answer may be written.
+func (f Fault) hold(ctx context.Context) {
+	if f.Delay > 0 {
+		select {
+		case <-time.After(f.Delay):
+		case <-ctx.Done():
+		}
+	}
+	if f.Hold != nil {
+		select {
+		case <-f.Hold:
+		case <-ctx.Done():
+		}
+	}
+}
+
 // writeAnswer writes an answer with the era that the fault lets through.
 func (f Fault) writeAnswer(w http.ResponseWriter, a answer) {
 	switch f.Era {
--- a/stand/mstore/http.go
+++ b/stand/mstore/http.go
@@ -80,12 +80,7 @@
 	default:
 		a = s.write(r, client, key, part, data)
 	}
-	if fault.Delay > 0 {
-		select {
-		case <-time.After(fault.Delay):
-		case <-r.Context().Done():
-		}
-	}
+	fault.hold(r.Context())
 	fault.writeAnswer(w, a)
 }
 
--- a/stand/mstore/mstore_test.go
+++ b/stand/mstore/mstore_test.go
@@ -337,20 +337,51 @@
 	}
 }
 
-// An answer that is delayed past a restore must keep the era of its call.
+// An answer that is held past a restore must keep the era of its call.
 func TestLateAnswerIsOfTheOlderEra(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s := NewServer()
-		s.SetClientFault("own", Fault{
-			Delay: time.Second,
+	release := make(chan struct{})
+	tests := []struct {
+		name  string
+		fault Fault
+	}{
+		{name: "delayed", fault: Fault{Delay: time.Second}},
+		{name: "held", fault: Fault{Hold: release}},
+	}
+	time.AfterFunc(time.Second, func() { close(release) })
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := NewServer()
+			s.SetClientFault("own", test.fault)
+			done := make(chan string, 1)
+			go func() {
+				_, era := call(t, s.Handler("own"), "POST", "/api/objects/k", `{"metadata":{"name":"a"}}`, nil)
+				done <- era
+			}()
+			for len(s.Objects("k")) == 0 {
+				<-time.After(time.Millisecond)
+			}
+			s.Restore(0)
+			if got, want := <-done, "1"; got != want {
+				t.Errorf("got era %s, want %s", got, want)
+			}
+			if got, _ := s.Position(); got != 2 {
+				t.Errorf("store's era: got %d, want 2", got)
+			}
 		})
-		time.AfterFunc(500*time.Millisecond, func() { s.Restore(0) })
-		_, era := call(t, s.Handler("own"), "GET", "/api/objects/k", "", nil)
-		if got, want := era, "1"; got != want {
-			t.Errorf("got era %s, want %s", got, want)
-		}
-		if got, _ := s.Position(); got != 2 {
-			t.Errorf("store's era: got %d, want 2", got)
-		}
-	})
+	}
+}
+
+// A copy must keep the content of its moment, whatever is written afterwards.
+func TestRestoreCopy(t *testing.T) {
+	s := NewServer()
+	s.Put("k", "a", nil)
+	c := s.Copy()
+	lost := s.Put("k", "b", nil)
+	s.RestoreCopy(c)
+	if got, want := names(s.Objects("k")), []string{"a"}; !slices.Equal(got, want) {
+		t.Errorf("objects: got %v, want %v", got, want)
+	}
+	if got, want := s.Put("k", "c", nil).Metadata.Rev, lost.Metadata.Rev; got != want {
+		t.Errorf("revision given out again: got %d, want %d", got, want)
+	}
 }
--- a/stand/mstore/server.go
+++ b/stand/mstore/server.go
@@ -130,22 +130,46 @@
 	s.setState(s.state.withCompaction(revision))
 }
 
-// Restore replaces the content by the copy that is age old, or by the oldest one, ends
-// the fault of all clients, cuts the waiting watches and begins the next era. Later
-// writes get revisions that had been given out since the copy was made.
-func (s *Server) Restore(age time.Duration) {
+// Copy is the content of the store at one moment.
+type Copy struct {
+	state state
+}
+
+// Copy returns a copy of the present content.
+func (s *Server) Copy() Copy {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return Copy{
+		state: s.state,
+	}
+}
+
+// Restore replaces the content by the copy that is age old, or by the oldest one, as
+// RestoreCopy does.
+func (s *Server) Restore(age time.Duration) {
 	at := time.Now().Add(-age)
+	s.mu.Lock()
 	source := s.copies[0].state
 	for _, c := range s.copies {
 		if !c.at.After(at) {
 			source = c.state
 		}
 	}
+	s.mu.Unlock()
+	s.RestoreCopy(Copy{
+		state: source,
+	})
+}
+
+// RestoreCopy replaces the content by a copy, ends the fault of all clients, cuts the
+// waiting watches and begins the next era. Later writes get revisions that had been
+// given out since the copy was made.
+func (s *Server) RestoreCopy(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.era++
 	s.fault = Fault{}
-	s.setState(source)
+	s.setState(c.state)
 }
 
 // setState puts a state in force. The caller holds mu.
