--- a/stand/appsim/appsim.go
+++ b/stand/appsim/appsim.go
@@ -70,7 +70,7 @@
 	b.mu.Lock()
 	b.slots = make(chan struct{}, b.Slots)
 	b.mu.Unlock()
-	b.Renew(b.ID)
+	b.Replace(b.ID)
 	listener, err := net.Listen("tcp", b.Address)
 	if err != nil {
 		return errors.Wrap(err, "listen for requests")
@@ -91,8 +91,8 @@
 	return nil
 }
 
-// Renew makes the backend answer as another process, which has just started with an id.
-func (b *Backend) Renew(id string) {
+// Replace makes the backend answer as another process, which has just started with an id.
+func (b *Backend) Replace(id string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.id, b.born, b.sequence, b.draining, b.done = id, time.Now(), 0, false, false
