Count the waiting watches of the store's stand-in

Cause: a test that cuts a watch has to know that the watch waits at the store. Change: Calls holds the number of watches that wait now. Evidence: TestWaitingWatchIsCut checks the count before and after each cut and passes under the race detector.

--- a/stand/mstore/http.go
+++ b/stand/mstore/http.go
@@ -168,6 +168,12 @@
 	return a
 }
 
+func (s *Server) addWaiting(count int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls.Waiting += count
+}
+
 // watch waits for a change of a kind. It is cut when the client meets a fault and when
 // the store is restored.
 func (s *Server) watch(r *http.Request, client, kind string) answer {
@@ -175,6 +181,8 @@
 	millis, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	timer := time.NewTimer(min(time.Duration(millis)*time.Millisecond, maxWait))
 	defer timer.Stop()
+	s.addWaiting(1)
+	defer s.addWaiting(-1)
 	var first uint64
 	for ended := false; ; {
 		s.mu.Lock()
--- a/stand/mstore/mstore_test.go
+++ b/stand/mstore/mstore_test.go
@@ -274,11 +274,19 @@
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := NewServer()
-				time.AfterFunc(time.Second, func() { test.cut(s) })
+				time.AfterFunc(time.Second, func() {
+					if got, want := s.Calls().Waiting, 1; got != want {
+						t.Errorf("waiting: got %d, want %d", got, want)
+					}
+					test.cut(s)
+				})
 				status, _ := call(t, s.Handler("own"), "GET", "/api/objects/k?wait_ms=2000&watch=1", "", nil)
 				if got, want := status, test.status; got != want {
 					t.Errorf("status: got %d, want %d", got, want)
 				}
+				if got, want := s.Calls().Waiting, 0; got != want {
+					t.Errorf("waiting afterwards: got %d, want %d", got, want)
+				}
 			})
 		})
 	}
--- a/stand/mstore/server.go
+++ b/stand/mstore/server.go
@@ -50,6 +50,8 @@
 type Calls struct {
 	Reads  int
 	Writes int
+	// Waiting is the number of watches that wait now.
+	Waiting int
 }
 
 // NewServer returns an empty store in its first era.
