List again until the store's answers are of the era that is known

Cause: a list of an older era than the known one was repeated once only.

Change: it is repeated, with the pauses of a failed call, until the era agrees.

--- a/proxy/store.go
+++ b/proxy/store.go
@@ -71,7 +71,8 @@
 func (f *storeWatcher) run(ctx context.Context) {
 	failures := 0
 	lost := false
-	heard := uint64(0)
+	// outdated is the number of consecutive lists of an older era than the known one.
+	outdated := 0
 	for ctx.Err() == nil {
 		_, risen := f.node.storeEras.Current()
 		list, err := f.list(ctx)
@@ -97,13 +98,14 @@
 		f.notifyResponse()
 		var known uint64
 		known, risen = f.node.storeEras.Current()
-		if known > max(list.Era, heard) {
+		if known > list.Era {
 			// The list may have been answered before the era began of which another node
-			// has told.
-			heard = known
-			sleep(ctx, rand.N(relistSpread))
+			// has told, or its answer did not tell its era.
+			waitRetry(ctx, outdated, risen)
+			outdated++
 			continue
 		}
+		outdated = 0
 		err = f.watch(ctx, list.Position, risen)
 		if err != nil && ctx.Err() == nil {
 			lost = f.pauseAfterWatch(ctx, err, risen)
