Move the drill to the stand-ins

The drill speaks the platform's wire as callers, upstreams and the operator do; only platform/ and stand/ know that wire. It builds the program by its import path now. The comment of Stop keeps to the line length.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 # drill runs the real program while the store returns from older copies of itself, with
 # SEEDS seeds from SEED on. It prints the seeds.
 drill:
-	go test ./drill -run '^TestStoreRestore$$' -timeout 120m -v -seed $(SEED) -seeds $(SEEDS)
+	go test ./stand/drill -run '^TestStoreRestore$$' -timeout 120m -v -seed $(SEED) -seeds $(SEEDS)
 
 # fuzz runs the property tests with CHECKS random cases, then the fuzz targets.
 # It prints the seed; make fuzz SEED=N repeats the same cases.
--- a/proxy/stop.go
+++ b/proxy/stop.go
@@ -21,7 +21,8 @@
 
 // Stop shuts the node down gracefully. After a short period it accepts nothing
 // more from other nodes; callers are served until the platform has redirected
-// them, work in flight completes, and its answers are delivered. Stop returns when the process may exit.
+// them, work in flight completes, and its answers are delivered. Stop returns
+// when the process may exit.
 func (n *Node) Stop(ctx context.Context) {
 	if !n.prepared.Load() || !n.stopping.CompareAndSwap(false, true) {
 		return
--- a/drill/fleet_test.go
+++ b/stand/drill/fleet_test.go
@@ -36,7 +36,7 @@
 		panic(err)
 	}
 	programs = []string{filepath.Join(dir, "cyclamensaddle")}
-	if out, err := exec.Command("go", "build", "-o", programs[0], "../cmd/cyclamensaddle").CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", "build", "-o", programs[0], "github.com/cyclamensaddle/cyclam/cmd/cyclamensaddle").CombinedOutput(); err != nil {
 		panic(string(out))
 	}
 	code := m.Run()
