Show the limit that an upstream names, and how many requests it gets

The record of LIMIT does not tell from our own output whether an upstream named a limit, when, and how many requests its node sent to it, so the hypotheses could be told apart by the platform's counts only.

What is decoded is not acted on yet. Values that are no decimal number neither set nor end a limit.

--- a/dialect.go
+++ b/dialect.go
@@ -45,6 +45,11 @@
 	// is set.
 	Load      UpstreamLoad
 	LoadKnown bool
+	// RateLimit is the limit that the upstream names; the zero value means that the
+	// header's value can't be read.
+	RateLimit RateLimit
+	// Leaving is set if the upstream states that it is about to stop.
+	Leaving bool
 }
 
 // UpstreamLoad is the load that an upstream reports about itself, as numbers of
@@ -66,7 +71,7 @@
 	// ParseAnswer reads the status and the header of an upstream's answer.
 	ParseAnswer(status int, header http.Header) AnswerMeta
 	// ParseInstance reads the upstream's id from the header of a health check's
-	// answer.
+	// answer. The rest of that header is read by ParseAnswer.
 	ParseInstance(header http.Header) string
 	// ConfigKey returns the key of the object that holds the configuration.
 	ConfigKey() Key
--- a/proxy/meters.go
+++ b/proxy/meters.go
@@ -20,12 +20,16 @@
 	cancelledRevoked metrics.Counter
 	cancelledUnread  metrics.Counter
 	discardedUnread  metrics.Counter
+	// upstreamRequests counts the requests that were sent to the own upstream; rateLimit
+	// is the limit that it names.
+	upstreamRequests metrics.Counter
+	rateLimit        metrics.GaugeFloat64
 	requests         metrics.Timer
 	run              metrics.Timer
 }
 
 func newMeters(r metrics.Registry) meters {
-	return meters{
+	m := meters{
 		registry:         r,
 		resends:          metrics.GetOrRegisterCounter("attempts-resent", r),
 		hedges:           metrics.GetOrRegisterCounter("attempts-hedged", r),
@@ -34,9 +38,13 @@
 		cancelledRevoked: metrics.GetOrRegisterCounter("runs-cancelled-revoked", r),
 		cancelledUnread:  metrics.GetOrRegisterCounter("runs-cancelled-unread", r),
 		discardedUnread:  metrics.GetOrRegisterCounter("answers-discarded-unread", r),
+		upstreamRequests: metrics.GetOrRegisterCounter("upstream-requests", r),
+		rateLimit:        metrics.GetOrRegisterGaugeFloat64("upstream-rate-limit", r),
 		requests:         metrics.GetOrRegisterTimer("request", r),
 		run:              metrics.GetOrRegisterTimer("upstream-run", r),
 	}
+	m.rateLimit.Update(noRateLimitGauge)
+	return m
 }
 
 func (m meters) countRefusal(reason cyclam.Reason) {
--- a/proxy/network_test.go
+++ b/proxy/network_test.go
@@ -25,6 +25,10 @@
 	id string
 	// work answers a request; nil answers at once.
 	work func(w http.ResponseWriter, r *http.Request)
+	// limit is the rate limit that all answers name, as text; nil or empty for none.
+	// leaving makes all answers say that the upstream leaves.
+	limit   atomic.Pointer[string]
+	leaving atomic.Bool
 	// runs, ended and cancelled count the requests that started, returned, and returned
 	// after their connection closed.
 	runs      atomic.Int64
@@ -43,6 +47,12 @@
 
 func (u *upstream) serve(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("X-Instance", u.id)
+	if limit := u.limit.Load(); limit != nil && *limit != "" {
+		w.Header().Set("X-Limit", *limit)
+	}
+	if u.leaving.Load() {
+		w.Header().Set("X-Leaving", "1")
+	}
 	if r.URL.Path == "/health" {
 		return
 	}
@@ -64,6 +74,9 @@
 	u.ended.Add(1)
 }
 
+// nameLimit makes all later answers name a rate limit; empty names none.
+func (u *upstream) nameLimit(limit string) { u.limit.Store(&limit) }
+
 // respondAfter returns a handler that responds after d, unless the connection closes
 // first.
 func respondAfter(d time.Duration) func(http.ResponseWriter, *http.Request) {
--- a/proxy/node.go
+++ b/proxy/node.go
@@ -208,6 +208,7 @@
 			if now.Sub(lastExpiry) >= time.Second {
 				lastExpiry = now
 				n.origin.Expire()
+				n.logRateLimit(now)
 				n.cancelAbandoned(now)
 				n.expireJobs(now)
 				go n.deleteUnreachable(ctx, now)
--- a/proxy/platform_test.go
+++ b/proxy/platform_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"maps"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -39,9 +40,22 @@
 		Signed:      h.Get("X-Signed") != "",
 		NotRun:      h.Get("X-Not-Run") != "",
 		Misdirected: status == http.StatusMisdirectedRequest,
+		RateLimit:   testRateLimit(h.Get("X-Limit")),
+		Leaving:     h.Get("X-Leaving") != "",
 	}
 }
 
+func testRateLimit(text string) cyclam.RateLimit {
+	if text == "" {
+		return cyclam.NoRateLimit()
+	}
+	rate, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		return cyclam.RateLimit{}
+	}
+	return cyclam.RateLimitOf(rate)
+}
+
 func (testDialect) ParseInstance(h http.Header) string { return h.Get("X-Instance") }
 
 func (testDialect) ConfigKey() cyclam.Key {
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -131,15 +131,18 @@
 	for _, f := range j.offer.Headers {
 		header.Add(f.Name, f.Value)
 	}
+	target, process := n.upstreamProcess()
 	n.Dialect.WriteAttempt(header, cyclam.AttemptMeta{
 		ID:        j.offer.Id,
 		Remaining: time.Until(j.deadline),
-		Target:    n.upstreamID(),
+		Target:    target,
 		Caller:    cyclam.ServiceName(j.offer.CallerService),
 	})
 	sink := &jobSink{
-		job: j,
+		job:     j,
+		observe: func(meta cyclam.AnswerMeta) { n.observeAnswer(process, meta) },
 	}
+	n.meters.upstreamRequests.Inc(1)
 	err := n.origin.Do(j.ctx, origin.Request{
 		ID:         j.offer.Id,
 		Method:     j.offer.Method,
@@ -235,15 +238,18 @@
 
 // jobSink appends the local upstream's answer to a job as replies.
 type jobSink struct {
-	job    *job
-	meta   cyclam.AnswerMeta
-	status int
-	bytes  int
+	job *job
+	// observe is called with the metadata of the answer before any of it is passed on.
+	observe func(cyclam.AnswerMeta)
+	meta    cyclam.AnswerMeta
+	status  int
+	bytes   int
 }
 
 // Head appends the head of the answer, unless the upstream did not run the request.
 func (s *jobSink) Head(h origin.Head) error {
 	s.meta, s.status = h.Meta, h.Status
+	s.observe(h.Meta)
 	if h.Meta.NotRun || h.Meta.Misdirected {
 		return nil
 	}
--- a/proxy/upstream.go
+++ b/proxy/upstream.go
@@ -22,6 +22,12 @@
 	withdrawnID    string
 	withdrawnStart time.Time
 	leaving        bool
+	// process counts the upstream processes that this node has met at the address.
+	process uint64
+	// lastID is the id of the last process that was known.
+	lastID string
+	// said is what the process has said of itself in its answers.
+	said upstreamSaid
 }
 
 // ErrForeignUpstream rejects a status of an upstream that does not run beside this
@@ -49,13 +55,11 @@
 	}
 	newProcess := known.id != status.ID || !known.startedAt.IsZero() && !known.startedAt.Equal(status.StartedAt)
 	leaving := status.Leaving || known.withdrawnID == status.ID && known.withdrawnStart.Equal(status.StartedAt)
-	n.upstream = upstreamState{
-		id:             status.ID,
-		startedAt:      status.StartedAt,
-		sequence:       status.Sequence,
-		withdrawnID:    known.withdrawnID,
-		withdrawnStart: known.withdrawnStart,
-		leaving:        leaving,
+	n.upstream.id, n.upstream.lastID = status.ID, status.ID
+	n.upstream.startedAt, n.upstream.sequence = status.StartedAt, status.Sequence
+	n.upstream.leaving = leaving
+	if newProcess {
+		n.upstream.beginProcess()
 	}
 	if newProcess || !n.scheduler.Known() {
 		n.scheduler = n.scheduler.WithUpstream(status.Slots)
@@ -179,15 +183,29 @@
 	if !ok || service.HealthPath == "" {
 		return
 	}
-	id, healthy, err := n.checkHealth(ctx, service.HealthPath)
-	n.Log.Info("upstream-probed", "upstream", id, "healthy", healthy, "error", err)
-	if err != nil || !healthy || id == "" {
+	h, err := n.checkHealth(ctx, service.HealthPath)
+	n.Log.Info("upstream-probed", "upstream", h.id, "healthy", h.healthy, "error", err)
+	if err != nil {
 		return
 	}
+	if h.healthy && h.id != "" {
+		n.recordIdentity(h.id)
+	}
+	if id, process := n.upstreamProcess(); id != "" && id == h.id {
+		n.observeAnswer(process, h.meta)
+	}
+}
+
+// recordIdentity records the id of the upstream process as a health check has told it, unless
+// the process is known already or has been withdrawn.
+func (n *Node) recordIdentity(id string) {
 	n.schedMu.Lock()
 	identified := n.upstream.id == "" && n.upstream.withdrawnID != id
 	if identified {
-		n.upstream.id = id
+		if n.upstream.lastID != id {
+			n.upstream.beginProcess()
+		}
+		n.upstream.id, n.upstream.lastID = id, id
 		if !n.scheduler.Known() {
 			n.scheduler = n.scheduler.WithUpstream(0)
 		}
@@ -198,9 +216,16 @@
 	}
 }
 
-// checkHealth requests path from the upstream and returns its instance id and whether
-// it is healthy.
-func (n *Node) checkHealth(ctx context.Context, path string) (string, bool, error) {
+// health is the result of a health check: the upstream's id, whether it is healthy, and
+// what its answer says of it.
+type health struct {
+	id      string
+	healthy bool
+	meta    cyclam.AnswerMeta
+}
+
+// checkHealth requests path from the upstream.
+func (n *Node) checkHealth(ctx context.Context, path string) (health, error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	transport := &http.Transport{
@@ -209,17 +234,21 @@
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.Settings.Upstream+path, nil)
 	if err != nil {
-		return "", false, errors.Wrap(err, "create health check request")
+		return health{}, errors.Wrap(err, "create health check request")
 	}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
-		return "", false, cyclam.AtStep("health check", n.Settings.Upstream, err)
+		return health{}, cyclam.AtStep("health check", n.Settings.Upstream, err)
 	}
 	defer resp.Body.Close()
 	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		return "", false, cyclam.AtStep("health check", n.Settings.Upstream, err)
+		return health{}, cyclam.AtStep("health check", n.Settings.Upstream, err)
 	}
-	return n.Dialect.ParseInstance(resp.Header), resp.StatusCode == http.StatusOK, nil
+	return health{
+		id:      n.Dialect.ParseInstance(resp.Header),
+		healthy: resp.StatusCode == http.StatusOK,
+		meta:    n.Dialect.ParseAnswer(resp.StatusCode, resp.Header),
+	}, nil
 }
 
 // restoreWithdrawal applies a withdrawal of the upstream with this id that an earlier
