--- a/stand/appsim/appsim.go
+++ b/stand/appsim/appsim.go
@@ -30,6 +30,8 @@
 	headerInstance  = "Instance-Id"
 	headerNotRun    = "Not-Executed"
 	headerLoad      = "Server-Load"
+	headerLimit     = "Server-Limit"
+	headerLeaving   = "Server-Leaving"
 )
 
 // HealthPath is the path of the health check.
@@ -52,6 +54,9 @@
 	Work func() time.Duration
 	// OnRun, if set, is called with the id of each attempt that starts to run.
 	OnRun func(attempt string)
+	// OnArrive, if set, is called with the id of each attempt that arrives, whether it
+	// runs or not.
+	OnArrive func(attempt string)
 
 	mu       sync.Mutex
 	slots    chan struct{}
@@ -63,6 +68,9 @@
 	draining bool
 	// done is set once the backend has said that it ends.
 	done bool
+	// limit is the rate limit that answers name; empty if none.
+	limit string
+	flood Flood
 }
 
 // Run serves requests and sends heartbeats until ctx ends.
@@ -96,6 +104,22 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.id, b.born, b.sequence, b.draining, b.done = id, time.Now(), 0, false, false
+	b.limit = ""
+}
+
+// NameLimit makes all later answers name a limit in requests per second; empty names none.
+// The backend does not enforce it.
+func (b *Backend) NameLimit(limit string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limit = limit
+}
+
+// SayLeaving makes all later answers say that the backend leaves, without a report.
+func (b *Backend) SayLeaving() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.draining = true
 }
 
 // ServeHTTP serves a health check or a request.
@@ -105,9 +129,15 @@
 		panic(http.ErrAbortHandler)
 	}
 	b.mu.Lock()
-	id, draining := b.id, b.draining
+	id, draining, limit, flood := b.id, b.draining, b.limit, b.flood
 	b.mu.Unlock()
 	header := w.Header()
+	if limit != "" {
+		header.Set(headerLimit, limit)
+	}
+	if draining {
+		header.Set(headerLeaving, "1")
+	}
 	attempt := r.Header.Get(HeaderAttempt)
 	target := r.Header.Get(headerTarget)
 	header.Set(headerInstance, id)
@@ -120,6 +150,9 @@
 		return
 	}
 	header.Set(HeaderAttempt, attempt)
+	if b.OnArrive != nil {
+		b.OnArrive(attempt)
+	}
 	switch {
 	case attempt == "":
 		refuse(w, http.StatusBadRequest)
@@ -127,6 +160,9 @@
 		refuse(w, http.StatusMisdirectedRequest)
 	case !b.takeSlot(r.Context()):
 		refuse(w, http.StatusServiceUnavailable)
+	case flood != "":
+		defer b.freeSlot()
+		flood.write(w, attempt)
 	default:
 		defer b.freeSlot()
 		b.run(w, r, attempt)
--- a/stand/appsim/appsim_test.go
+++ b/stand/appsim/appsim_test.go
@@ -107,3 +107,72 @@
 		t.Errorf("run: %v", err)
 	}
 }
+
+// What a backend says of itself must be in the answers of requests that it runs and of
+// those that it does not run, and in those of health checks, until it says otherwise.
+func TestAnswersSayLimitAndLeaving(t *testing.T) {
+	var arrived []string
+	b := &Backend{
+		Slots:    1,
+		Work:     func() time.Duration { return 0 },
+		OnArrive: func(attempt string) { arrived = append(arrived, attempt) },
+		slots:    make(chan struct{}, 1),
+	}
+	b.Replace("i-1")
+	check := func(limit, leaving string) {
+		t.Helper()
+		for path, target := range map[string]string{"/a/run": "i-1", "/a/refuse": "i-2", HealthPath: ""} {
+			r := httptest.NewRequestWithContext(t.Context(), http.MethodGet, path, nil)
+			r.Header.Set(HeaderAttempt, path)
+			r.Header.Set(headerTarget, target)
+			w := httptest.NewRecorder()
+			b.ServeHTTP(w, r)
+			if got := w.Header().Get(headerLimit); got != limit {
+				t.Errorf("%s: limit: got %q, want %q", path, got, limit)
+			}
+			if got := w.Header().Get(headerLeaving); got != leaving {
+				t.Errorf("%s: leaving: got %q, want %q", path, got, leaving)
+			}
+		}
+	}
+	check("", "")
+	b.NameLimit("4.5")
+	check("4.5", "")
+	b.NameLimit("")
+	b.SayLeaving()
+	check("", "1")
+	b.NameLimit("3")
+	b.Replace("i-1")
+	check("", "")
+	if got, want := len(arrived), 8; got != want {
+		t.Errorf("arrived: got %d (%q), want %d", got, arrived, want)
+	}
+}
+
+// A flood ends only once the caller closes the connection.
+func TestFlood(t *testing.T) {
+	for _, flood := range []Flood{FloodLine, FloodHead, FloodInterim, FloodForeign, FloodBody, FloodChunks} {
+		t.Run(string(flood), func(t *testing.T) {
+			b := &Backend{
+				Slots: 1,
+				slots: make(chan struct{}, 1),
+			}
+			b.Replace("i-1")
+			b.SetFlood(flood)
+			server := httptest.NewServer(b)
+			defer server.Close()
+			c, err := net.Dial("tcp", server.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			if _, err := io.WriteString(c, "GET /a/x HTTP/1.1\r\nHost: h\r\n"+HeaderAttempt+": 1\r\n\r\n"); err != nil {
+				t.Fatal(err)
+			}
+			const most = 4 << 20
+			if got, err := io.CopyN(io.Discard, c, most); err != nil {
+				t.Errorf("ended after %d bytes: %v", got, err)
+			}
+		})
+	}
+}
--- a/stand/drill/drill_test.go
+++ b/stand/drill/drill_test.go
@@ -1,5 +1,6 @@
-// Package drill runs the real program beside stand-ins while the platform's store is away
-// for a moment and returns from an older copy. It holds tests only.
+// Package drill runs the real program beside stand-ins: while the platform's store is away
+// for a moment and returns from an older copy, and while backends name limits, leave or
+// write without end. It holds tests only.
 package drill
 
 import (
--- a/stand/drill/machine_test.go
+++ b/stand/drill/machine_test.go
@@ -64,6 +64,8 @@
 	upstream     string
 	steady       bool
 	replacements int
+	// arrived is called with each attempt that arrives at the backend.
+	arrived func(attempt string)
 }
 
 // process is one run of the program.
@@ -120,6 +122,7 @@
 		Heartbeat:    400 * time.Millisecond,
 		Work:         func() time.Duration { return 5*time.Millisecond + rand.N(35*time.Millisecond) },
 		OnRun:        onRun,
+		OnArrive:     m.noteArrival,
 	}
 	listener, err := net.Listen("tcp", m.address(portStore))
 	if err != nil {
@@ -143,6 +146,22 @@
 	return m
 }
 
+// watch calls arrived with each attempt that arrives at the backend from now on.
+func (m *machine) watch(arrived func(attempt string)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.arrived = arrived
+}
+
+func (m *machine) noteArrival(attempt string) {
+	m.mu.Lock()
+	arrived := m.arrived
+	m.mu.Unlock()
+	if arrived != nil {
+		arrived(attempt)
+	}
+}
+
 func (m *machine) address(port string) string { return net.JoinHostPort(m.ip, port) }
 
 func (m *machine) settings() ([]byte, error) {
