Keep the rate limit that an upstream names, at the node beside it

Cause: no part of the system read the field that names the limit, so nodes sent as many requests as the upstream has slots for. Class: a signal of an upstream that passes through the nodes like any other field.

The node beside the upstream is the only one that sends to it, so a token bucket there bounds all machines together, without shares that would have to be agreed on. It starts out empty, holds a quarter of a second, and is set by every answer: the first one without a limit ends it, an unreadable one changes nothing. Work waits for a token only until its soft deadline; what the limit leaves no room for is refused at once as rate-limited. Under a limit, queued work of equal urgency is divided among the instances that sent it. Nodes tell each other limit and wait, and pick upstreams by them. A limit that is too low for answers is confirmed by a health check every two seconds, if work is held back.

--- a/outcome.go
+++ b/outcome.go
@@ -34,10 +34,12 @@
 
 // The reasons that answers and logs carry.
 const (
-	ReasonNoRoute          Reason = "no-route"
-	ReasonNoConfig         Reason = "no-configuration"
-	ReasonNoUpstream       Reason = "no-allowed-upstream"
-	ReasonOverloaded       Reason = "overloaded"
+	ReasonNoRoute    Reason = "no-route"
+	ReasonNoConfig   Reason = "no-configuration"
+	ReasonNoUpstream Reason = "no-allowed-upstream"
+	ReasonOverloaded Reason = "overloaded"
+	// ReasonRateLimited means that the limit that the upstream names leaves no room.
+	ReasonRateLimited      Reason = "rate-limited"
 	ReasonDraining         Reason = "draining"
 	ReasonDeadlineExceeded Reason = "deadline-exceeded"
 	ReasonPlacement        Reason = "placement-refused"
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -7,8 +7,9 @@
 // It is designed for these load patterns: one crowded data centre (calls spill
 // over once queueing there costs more than the longer path), slow and failing
 // upstreams (their own nodes report service time and failure rate), cold starts
-// (the first runs of a new upstream take long, so it gets few), and stale load
-// reports (attempts sent since the last report are added to it).
+// (the first runs of a new upstream take long, so it gets few), upstreams with a rate
+// limit (they get what their limit leaves room for), and stale load reports (attempts sent
+// since the last report are added to it).
 package picker
 
 import (
@@ -79,9 +80,11 @@
 		busy += int(freshness * float64(c.Load.Running+c.Load.Waiting))
 	}
 	expected := c.RoundTrip(now) + serviceTime
+	wait := c.rateWait(now)
 	if excess := busy + 1 - limit; excess > 0 {
-		expected += serviceTime * time.Duration(excess) / time.Duration(limit)
+		wait = max(wait, serviceTime*time.Duration(excess)/time.Duration(limit))
 	}
+	expected += wait
 	// Many upstreams slow down before they are full.
 	expected += serviceTime * time.Duration(min(busy, limit)) / time.Duration(saturationDivisor*limit)
 	expected += time.Duration(c.Load.Failing * float64(t.FailureCost))
@@ -97,6 +100,26 @@
 	return expected
 }
 
+// maxRateWait bounds the wait for a rate limit, so that a leaving or unreachable upstream
+// is not preferred to one with a low limit.
+const maxRateWait = leavingPenalty / 2
+
+// rateWait returns the expected wait for the upstream's rate limit: what was reported, less
+// the time since, and the time that the attempts sent since take.
+func (c Candidate) rateWait(now time.Time) time.Duration {
+	perSecond, limited := c.Load.RateLimit.PerSecond()
+	if !limited {
+		return 0
+	}
+	reported := max(0, c.Load.StartDelay-now.Sub(c.LoadAt))
+	// The quotient is infinite, or not a number, for a limit of zero.
+	sent := float64(c.InFlight) / perSecond
+	if !(sent < maxRateWait.Seconds()) || reported > maxRateWait {
+		return maxRateWait
+	}
+	return min(maxRateWait, reported+time.Duration(sent*float64(time.Second)))
+}
+
 // rttTTL is how long the excess of a measured round-trip time over the base
 // counts, with linearly decreasing weight. A queue on the path has drained by
 // then, and only a new request would show it.
@@ -124,9 +147,11 @@
 }
 
 // HasFreeSlot reports whether the upstream has a free slot by its last load report
-// and the attempts sent since.
+// and the attempts sent since. One with a rate limit never has, as each attempt takes the
+// place of another one.
 func (c Candidate) HasFreeSlot() bool {
-	return c.Load.Waiting == 0 && c.Load.Running+c.InFlight < c.Load.Limit
+	_, limited := c.Load.RateLimit.PerSecond()
+	return !limited && c.Load.Waiting == 0 && c.Load.Running+c.InFlight < c.Load.Limit
 }
 
 // transferCost returns the cost of sending a request's bytes to another data
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -63,6 +63,16 @@
 	stale.LoadAt = now.Add(-time.Minute)
 	sent := candidate("sent", here, 0, 0)
 	sent.InFlight = 30
+	limited := candidate("limited", here, 0, 0)
+	limited.Load.RateLimit = cyclam.RateLimitOf(5)
+	exhausted := candidate("exhausted", here, 0, 0)
+	exhausted.Load.RateLimit, exhausted.Load.StartDelay = cyclam.RateLimitOf(5), 300*time.Millisecond
+	refilled := exhausted
+	refilled.Endpoint.Instance, refilled.LoadAt = "refilled", now.Add(-time.Second)
+	used := candidate("used", here, 0, 0)
+	used.Load.RateLimit, used.InFlight = cyclam.RateLimitOf(5), 2
+	closed := candidate("closed", here, 0, 0)
+	closed.Load.RateLimit, closed.Load.StartDelay = cyclam.RateLimitOf(0), time.Hour
 	small := Request{
 		From:  here,
 		Bytes: 2000,
@@ -87,6 +97,12 @@
 		{"leaving upstream is picked if it is the only one", small, []Candidate{leaving}, "leaving"},
 		{"unreachable upstream comes last", small, []Candidate{avoided, leaving}, "leaving"},
 		{"expired load report is ignored", small, []Candidate{stale, candidate("near", near, 0, 0)}, "stale"},
+		{"upstream within its rate limit", small, []Candidate{limited, candidate("far", far, 0, 0)}, "limited"},
+		{"upstream at its rate limit is avoided", small, []Candidate{exhausted, candidate("near", near, 0, 0)}, "near"},
+		{"upstream whose limit has had time to refill", small, []Candidate{refilled, candidate("far", far, 0, 0)}, "refilled"},
+		{"attempts since the last load report use up a rate limit", small, []Candidate{used, candidate("near", near, 0, 0)}, "near"},
+		{"limit of zero comes before leaving", small, []Candidate{leaving, closed}, "closed"},
+		{"limit of zero comes after a full queue", small, []Candidate{closed, candidate("near", near, 10, 40)}, "near"},
 		{"attempts since the last load report count", small, []Candidate{sent, candidate("near", near, 0, 0)}, "near"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -104,6 +120,18 @@
 	}
 }
 
+// A hedge at an upstream with a rate limit would take the place of another request.
+func TestRateLimitedUpstreamHasNoFreeSlot(t *testing.T) {
+	c := candidate("limited", here, 0, 0)
+	if !c.HasFreeSlot() {
+		t.Error("idle without a limit: got no free slot, want one")
+	}
+	c.Load.RateLimit = cyclam.RateLimitOf(50)
+	if c.HasFreeSlot() {
+		t.Error("with a limit: got a free slot, want none")
+	}
+}
+
 // Guards against herding: nodes with the same stale view must not all pick the
 // same one of several equal candidates.
 func TestPickSpreadsTies(t *testing.T) {
--- a/proxy/load.go
+++ b/proxy/load.go
@@ -25,6 +25,32 @@
 		Incarnation:   uint64(incarnation),
 		SendingUs:     uint32(l.SendBacklog.Microseconds()),
 		LinkKbps:      uint32(l.LinkRate / linkRateUnit),
+		Notice:        encodeRateLimit(l.RateLimit),
+		NoticeKnown:   l.RateLimit.Known(),
+		StartDelayUs:  uint32(l.StartDelay.Microseconds()),
+	}
+}
+
+// encodeRateLimit returns the notice of a limit; nil if there is none or it is not known.
+func encodeRateLimit(r cyclam.RateLimit) *wire.UpstreamNotice {
+	perSecond, limited := r.PerSecond()
+	if !limited {
+		return nil
+	}
+	return &wire.UpstreamNotice{
+		Limited:   true,
+		RateLimit: perSecond,
+	}
+}
+
+func decodeRateLimit(l *wire.Load) cyclam.RateLimit {
+	switch {
+	case l.GetNotice().GetLimited():
+		return cyclam.RateLimitOf(l.Notice.RateLimit)
+	case l.GetNoticeKnown():
+		return cyclam.NoRateLimit()
+	default:
+		return cyclam.RateLimit{}
 	}
 }
 
@@ -39,6 +65,8 @@
 		Version:     cyclam.Version(l.GetVersion()),
 		SendBacklog: time.Duration(l.GetSendingUs()) * time.Microsecond,
 		LinkRate:    float64(l.GetLinkKbps()) * linkRateUnit,
+		RateLimit:   decodeRateLimit(l),
+		StartDelay:  time.Duration(l.GetStartDelayUs()) * time.Microsecond,
 	}
 }
 
@@ -58,7 +86,8 @@
 // notable reports whether a load would affect which node is picked. Nodes whose
 // load is not reported count as idle.
 func notable(l cyclam.Load) bool {
-	return l.Leaving || l.SendBacklog > notableBacklog || l.Failing > notableFailing || 2*(l.Running+l.Waiting) >= l.Limit
+	_, limited := l.RateLimit.PerSecond()
+	return limited || l.Leaving || l.SendBacklog > notableBacklog || l.Failing > notableFailing || 2*(l.Running+l.Waiting) >= l.Limit
 }
 
 // gossipLoads returns this node's load and the recent, notable loads of other nodes.
--- a/proxy/node.go
+++ b/proxy/node.go
@@ -209,6 +209,7 @@
 				lastExpiry = now
 				n.origin.Expire()
 				n.logRateLimit(now)
+				n.recheckRateLimit(ctx, now)
 				n.cancelAbandoned(now)
 				n.expireJobs(now)
 				go n.deleteUnreachable(ctx, now)
--- /dev/null
+++ b/proxy/notice.go
@@ -0,0 +1,132 @@
+package proxy
+
+import (
+	"context"
+	"time"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/sched"
+)
+
+// upstreamSaid is what an upstream process has said of itself in its answers.
+type upstreamSaid struct {
+	rateLimit cyclam.RateLimit
+	// limitSince is when rateLimit last changed, answeredAt when the process last
+	// answered.
+	limitSince time.Time
+	answeredAt time.Time
+	leaving    bool
+	// loggedLimit is the last limit that was logged.
+	loggedLimit cyclam.RateLimit
+}
+
+// beginProcess resets what belongs to one upstream process.
+func (u *upstreamState) beginProcess() {
+	u.process++
+	u.said = upstreamSaid{
+		loggedLimit: u.said.loggedLimit,
+	}
+}
+
+// upstreamProcess returns the id of the upstream process and its number on this node.
+func (n *Node) upstreamProcess() (string, uint64) {
+	n.schedMu.Lock()
+	defer n.schedMu.Unlock()
+	return n.upstream.id, n.upstream.process
+}
+
+// observeAnswer applies what an answer to a request says of the upstream process to which
+// the request was sent. An answer with 421 comes from another one.
+func (n *Node) observeAnswer(process uint64, meta cyclam.AnswerMeta) {
+	if meta.Misdirected {
+		return
+	}
+	n.schedMu.Lock()
+	defer n.schedMu.Unlock()
+	if n.upstream.process != process {
+		return
+	}
+	now := time.Now()
+	n.upstream.said.answeredAt = now
+	n.setRateLimit(now, meta.RateLimit)
+	n.observeLeaving(meta)
+}
+
+// observeHealth applies what the answer to a health check says of the known upstream
+// process. It may not name a limit that requests are subject to, so that without one a
+// request has to tell. The caller holds schedMu.
+func (n *Node) observeHealth(now time.Time, meta cyclam.AnswerMeta) {
+	n.upstream.said.answeredAt = now
+	if _, limited := meta.RateLimit.PerSecond(); limited {
+		n.setRateLimit(now, meta.RateLimit)
+	} else {
+		n.decideLocked(func(s sched.State) (sched.State, []sched.Decision) { return s.WithTrial(now).Tick(now) })
+	}
+	n.observeLeaving(meta)
+}
+
+// setRateLimit applies a limit that the upstream has named. The caller holds schedMu.
+func (n *Node) setRateLimit(now time.Time, limit cyclam.RateLimit) {
+	said := &n.upstream.said
+	if !limit.Known() || limit == said.rateLimit {
+		return
+	}
+	said.rateLimit, said.limitSince = limit, now
+	n.decideLocked(func(s sched.State) (sched.State, []sched.Decision) {
+		return s.WithRateLimit(now, limit).Tick(now)
+	})
+}
+
+// observeLeaving records that the upstream says that it leaves. The caller holds schedMu.
+func (n *Node) observeLeaving(meta cyclam.AnswerMeta) {
+	if meta.Leaving && !n.upstream.said.leaving {
+		n.upstream.said.leaving = true
+		n.Log.Info("upstream-says-leaving", "upstream", n.upstream.id)
+	}
+}
+
+// limitRecheck is the time without an answer after which an upstream with a rate limit is
+// asked by a health check whether the limit still holds: a low limit leaves few answers
+// that could tell.
+const limitRecheck = 2 * time.Second
+
+// recheckRateLimit starts a health check if work is refused or waits because of a limit
+// that no answer has confirmed for limitRecheck.
+func (n *Node) recheckRateLimit(ctx context.Context, now time.Time) {
+	n.schedMu.Lock()
+	_, limited := n.upstream.said.rateLimit.PerSecond()
+	due := limited && now.Sub(n.upstream.said.answeredAt) >= limitRecheck && n.scheduler.HeldBack(now, limitRecheck)
+	n.schedMu.Unlock()
+	if due {
+		go n.probe(ctx)
+	}
+}
+
+// logRateLimit logs a change of the limit that the upstream names. It is called once a
+// second, because a limit may change with every answer.
+func (n *Node) logRateLimit(now time.Time) {
+	n.schedMu.Lock()
+	defer n.schedMu.Unlock()
+	said := &n.upstream.said
+	limit, limited := said.rateLimit.PerSecond()
+	_, wasLimited := said.loggedLimit.PerSecond()
+	if said.rateLimit == said.loggedLimit || !limited && !wasLimited {
+		return
+	}
+	if limited {
+		n.meters.rateLimit.Update(limit)
+	} else {
+		n.meters.rateLimit.Update(noRateLimitGauge)
+	}
+	n.Log.Info("upstream-rate-limit",
+		"upstream", n.upstream.id,
+		"limit", said.rateLimit,
+		"before", said.loggedLimit,
+		"age", now.Sub(said.limitSince),
+		"requests-sent", n.meters.upstreamRequests.Count(),
+	)
+	said.loggedLimit = said.rateLimit
+}
+
+// noRateLimitGauge is the value of the gauge of the rate limit while there is none.
+const noRateLimitGauge = -1
--- a/proxy/ratelimit_test.go
+++ b/proxy/ratelimit_test.go
@@ -125,3 +125,111 @@
 		t.Errorf("requests in %v: got %d, want at most %d for a limit of %v a second", limitSpan, got, most, limit)
 	}
 }
+
+// The limit must end with the first answer that no longer names it, and an upstream with
+// a limit must get what the limit allows.
+func TestRateLimitEndsWithAnswers(t *testing.T) {
+	s := newTestCluster(t)
+	u, got := limitedUpstream(t, "u1")
+	backend, front := s.start("door", u, nil), s.start("front", nil, nil)
+	s.awaitReady(backend, front)
+	const limit = 8
+	u.nameLimit("8")
+	s.want(front, http.MethodPost, "/book/x", http.StatusOK)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	end := s.insist(ctx, front, 4, "/book/x")
+	limitedAt := time.Now()
+	sleep(ctx, 3*time.Second)
+	if got, least := got.since(limitedAt), limit*3*9/10; got < least {
+		t.Errorf("requests in 3 s with a limit of %d a second: got %d, want at least %d", limit, got, least)
+	}
+	u.nameLimit("")
+	ended := time.Now()
+	sleep(ctx, time.Second)
+	if got, least := got.since(ended), 5*limit; got < least {
+		t.Errorf("requests in a second after the limit has ended: got %d, want at least %d", got, least)
+	}
+	cancel()
+	end()
+}
+
+// A limit of zero leaves no answers that could tell of its end: the health check must.
+func TestZeroRateLimitEnds(t *testing.T) {
+	s := newTestCluster(t)
+	u, got := limitedUpstream(t, "u1")
+	backend := s.start("door", u, nil)
+	s.awaitReady(backend)
+	u.nameLimit("0")
+	s.want(backend, http.MethodPost, "/book/x", http.StatusOK)
+	limitedAt := time.Now()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*limitRecheck+time.Second)
+	defer cancel()
+	if counts := s.insist(ctx, backend, 1, "/book/x")(); counts[http.StatusOK] > 0 {
+		t.Errorf("answers by status: got %v, want only refusals", counts)
+	}
+	if got := got.since(limitedAt); got > 0 {
+		t.Errorf("requests with a limit of zero: got %d, want 0", got)
+	}
+	u.nameLimit("")
+	s.waitFor("a request is served", func() bool {
+		status, _, _, err := s.request(t.Context(), backend, http.MethodPost, "/book/x", time.Second)
+		return err == nil && status == http.StatusOK
+	})
+}
+
+// What a limit leaves no room for must be refused long before its deadline, with a time to
+// come back, and not run.
+func TestRateLimitRefusesAtOnce(t *testing.T) {
+	s := newTestCluster(t)
+	u, got := limitedUpstream(t, "u1")
+	backend, front := s.start("door", u, nil), s.start("front", nil, nil)
+	s.awaitReady(backend, front)
+	u.nameLimit("0.5")
+	s.want(front, http.MethodPost, "/book/x", http.StatusOK)
+	limitedAt := time.Now()
+	for _, n := range []*Node{front, backend} {
+		for range 5 {
+			began := time.Now()
+			status, body, header, err := s.request(t.Context(), n, http.MethodPost, "/book/x", 2*time.Second)
+			if err != nil || status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" {
+				t.Errorf("got %d %q, %v, want 503 with Retry-After", status, body, err)
+			}
+			if took, most := time.Since(began), 500*time.Millisecond; took > most {
+				t.Errorf("refused after %v, want at most %v", took, most)
+			}
+		}
+	}
+	if got := got.since(limitedAt); got > 0 {
+		t.Errorf("requests at the upstream: got %d, want 0", got)
+	}
+}
+
+// A node whose callers ask for little must not be starved by one whose callers insist.
+func TestRateLimitStarvesNoNode(t *testing.T) {
+	s := newTestCluster(t)
+	u, _ := limitedUpstream(t, "u1")
+	backend, greedy, modest := s.start("door", u, nil), s.start("front-a", nil, nil), s.start("front-b", nil, nil)
+	s.awaitReady(backend, greedy, modest)
+	u.nameLimit("10")
+	s.want(greedy, http.MethodPost, "/book/x", http.StatusOK)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	end := s.insist(ctx, greedy, 8, "/book/x")
+	sleep(ctx, 500*time.Millisecond)
+	served := 0
+	const requests = 10
+	for range requests {
+		if status, _, _, err := s.request(ctx, modest, http.MethodPost, "/book/x", time.Second); err == nil && status == http.StatusOK {
+			served++
+		}
+		sleep(ctx, 300*time.Millisecond)
+	}
+	cancel()
+	if least := requests * 8 / 10; served < least {
+		t.Errorf("served of %d requests at the modest node: got %d, want at least %d", requests, served, least)
+	}
+	if counts := end(); counts[http.StatusOK] == 0 {
+		t.Errorf("answers at the other node by status: got %v, want some served", counts)
+	}
+}
--- a/proxy/upstream.go
+++ b/proxy/upstream.go
@@ -188,32 +188,25 @@
 	if err != nil {
 		return
 	}
-	if h.healthy && h.id != "" {
-		n.recordIdentity(h.id)
+	n.schedMu.Lock()
+	defer n.schedMu.Unlock()
+	if h.healthy && h.id != "" && n.upstream.id == "" && n.upstream.withdrawnID != h.id {
+		n.identifyLocked(h.id)
 	}
-	if id, process := n.upstreamProcess(); id != "" && id == h.id {
-		n.observeAnswer(process, h.meta)
+	if h.id != "" && n.upstream.id == h.id {
+		n.observeHealth(time.Now(), h.meta)
 	}
 }
 
-// recordIdentity records the id of the upstream process as a health check has told it, unless
-// the process is known already or has been withdrawn.
-func (n *Node) recordIdentity(id string) {
-	n.schedMu.Lock()
-	identified := n.upstream.id == "" && n.upstream.withdrawnID != id
-	if identified {
-		if n.upstream.lastID != id {
-			n.upstream.beginProcess()
-		}
-		n.upstream.id, n.upstream.lastID = id, id
-		if !n.scheduler.Known() {
-			n.scheduler = n.scheduler.WithUpstream(0)
-		}
-	}
-	n.schedMu.Unlock()
-	if identified {
-		n.requestEntryWrite()
+// identifyLocked records the id of the upstream process that a health check has told. The
+// caller holds schedMu.
+func (n *Node) identifyLocked(id string) {
+	if n.upstream.lastID != id {
+		n.upstream.beginProcess()
+		n.scheduler = n.scheduler.WithUpstream(0)
 	}
+	n.upstream.id, n.upstream.lastID = id, id
+	n.requestEntryWrite()
 }
 
 // health is the result of a health check: the upstream's id, whether it is healthy, and
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -25,16 +26,23 @@
 	transitMargin     = 20 * time.Millisecond
 )
 
-// minRetryAfter is the shortest time after which a refused caller may retry.
-const minRetryAfter = 50 * time.Millisecond
+// The shortest and the longest time after which a refused caller is told to retry. A rate
+// limit may be raised or end long before it would allow the caller's request.
+const (
+	minRetryAfter = 50 * time.Millisecond
+	maxRetryAfter = 2 * time.Second
+)
 
 // latestEnd returns the latest expected end of a run for which work stays queued.
 // Nested work may use its whole deadline, because the work that waits for it fails
-// with it.
+// with it. Under a rate limit, no burst ends sooner than the limit allows.
 func (s State) latestEnd(now time.Time, w Work) time.Time {
 	if w.Nested || !w.SoftDeadline.Before(w.Deadline) {
 		return w.Deadline
 	}
+	if s.rate.limited() {
+		return w.SoftDeadline
+	}
 	if !s.queuedSince.IsZero() && now.Sub(s.queuedSince) > maxBurst {
 		return w.SoftDeadline
 	}
@@ -53,21 +61,34 @@
 	return !w.Nested && !s.onTime(now, w) && now.Sub(w.Arrived) > limit
 }
 
-// compare returns the order of the queue: nested work first, then by priority,
-// then work that can still meet its soft deadline, then by soft deadline.
-func (s State) compare(now time.Time) func(a, b Work) int {
-	return func(a, b Work) int {
-		onTimeA, onTimeB := s.onTime(now, a), s.onTime(now, b)
-		switch {
-		case a.Nested != b.Nested:
-			return trueFirst(a.Nested)
-		case a.Priority != b.Priority:
-			return a.Priority - b.Priority
-		case onTimeA != onTimeB:
-			return trueFirst(onTimeA)
-		default:
-			return a.SoftDeadline.Compare(b.SoftDeadline)
-		}
+// sortQueue puts the queue into the order in which its work starts: nested work first,
+// then by priority, then work that can still meet its soft deadline, then by soft
+// deadline. Under a rate limit, what is equal up to the soft deadline is divided among
+// the senders.
+func (s State) sortQueue(now time.Time) {
+	slices.SortStableFunc(s.queue, func(a, b Work) int {
+		return cmp.Or(s.compareUrgency(now, a, b), a.SoftDeadline.Compare(b.SoftDeadline))
+	})
+	if !s.rate.limited() {
+		return
+	}
+	ranks := s.rate.ranks(s.queue)
+	slices.SortStableFunc(s.queue, func(a, b Work) int {
+		return cmp.Or(s.compareUrgency(now, a, b), cmp.Compare(ranks[a.Attempt], ranks[b.Attempt]))
+	})
+}
+
+func (s State) compareUrgency(now time.Time, a, b Work) int {
+	onTimeA, onTimeB := s.onTime(now, a), s.onTime(now, b)
+	switch {
+	case a.Nested != b.Nested:
+		return trueFirst(a.Nested)
+	case a.Priority != b.Priority:
+		return a.Priority - b.Priority
+	case onTimeA != onTimeB:
+		return trueFirst(onTimeA)
+	default:
+		return 0
 	}
 }
 
@@ -97,24 +118,27 @@
 	if reason := s.refusalReason(now); reason != "" {
 		return s.refuseAll(now, reason)
 	}
-	slices.SortStableFunc(s.queue, s.compare(now))
-	limit := s.limit(now)
+	s.sortQueue(now)
 	var decisions []Decision
 	kept := s.queue[:0]
 	for _, w := range s.queue {
-		ahead := len(kept)
-		end := now.Add(s.expectedWait(ahead, limit) + s.expectedServiceTime(w.Route))
-		switch {
-		case !w.Deadline.After(now):
+		if !w.Deadline.After(now) {
 			decisions = append(decisions, refuse(w.Attempt, cyclam.ReasonDeadlineExceeded, 0))
-		case s.running < limit:
-			s.running++
-			decisions = append(decisions, start(w.Attempt))
-		case end.After(s.latestEnd(now, w)), s.queuedTooLong(now, w):
-			decisions = append(decisions, refuse(w.Attempt, cyclam.ReasonOverloaded, s.retryAfter(now, ahead)))
-		default:
-			kept = append(kept, w)
+			continue
+		}
+		next, ok := s.start(now, w)
+		s = next
+		if ok {
+			decisions = append(decisions, started(w.Attempt))
+			continue
 		}
+		ahead := len(kept)
+		end := now.Add(s.expectedWait(now, ahead) + s.expectedServiceTime(w.Route))
+		if end.After(s.latestEnd(now, w)) || s.queuedTooLong(now, w) {
+			decisions = append(decisions, refuse(w.Attempt, s.shortage(now), s.retryAfter(now, ahead)))
+			continue
+		}
+		kept = append(kept, w)
 	}
 	s.queue = kept
 	switch {
@@ -126,15 +150,44 @@
 	return s, decisions
 }
 
-// expectedWait returns the expected time until a slot is free for work with ahead
-// others before it in the queue.
-func (s State) expectedWait(ahead, limit int) time.Duration {
-	return s.serviceTime * time.Duration(ahead+1) / time.Duration(max(1, limit))
+// start returns the state after the start of work; false means that there is no free
+// slot or that the rate limit does not allow it yet.
+func (s State) start(now time.Time, w Work) (State, bool) {
+	if s.running >= s.limit(now) {
+		return s, false
+	}
+	next, ok := s.rate.take(now, w.Attempt.Sender.Instance)
+	if !ok {
+		s.heldBackAt = now
+		return s, false
+	}
+	s.rate = next
+	s.running++
+	return s, true
+}
+
+// shortage returns the reason for refusing work that can't start in time.
+func (s State) shortage(now time.Time) cyclam.Reason {
+	if s.running < s.limit(now) {
+		return cyclam.ReasonRateLimited
+	}
+	return cyclam.ReasonOverloaded
+}
+
+// expectedWait returns the expected time until work with ahead others before it in the
+// queue may start.
+func (s State) expectedWait(now time.Time, ahead int) time.Duration {
+	wait := s.rate.wait(now, ahead+1)
+	limit := s.limit(now)
+	if excess := s.running + ahead + 1 - limit; excess > 0 {
+		wait = max(wait, s.serviceTime*time.Duration(excess)/time.Duration(limit))
+	}
+	return wait
 }
 
-// retryAfter estimates the time until a slot is free for one more caller.
+// retryAfter estimates the time until one more caller's work may start.
 func (s State) retryAfter(now time.Time, ahead int) time.Duration {
-	return max(minRetryAfter, s.expectedWait(ahead, s.limit(now)))
+	return min(maxRetryAfter, max(minRetryAfter, s.expectedWait(now, ahead)))
 }
 
 // refuseAll refuses all queued work.
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -8,8 +8,10 @@
 // can still be answered in time, not by a constant), sustained overload (work that
 // can no longer end in time is refused at once, work that can meet its soft
 // deadline goes first), an upstream that hangs or slows down when it is full (it
-// never gets more than its slots), and requests made by running work (they go
-// first, because the work that waits for them holds a slot at another upstream).
+// never gets more than its slots), an upstream that names a rate limit (attempts start at
+// that rate, divided among the senders, and what it leaves no room for is refused at
+// once), and requests made by running work (they go first, because the work that waits
+// for them holds a slot at another upstream).
 package sched
 
 import (
@@ -78,6 +80,10 @@
 	// or waiting beyond those that this node sent.
 	externalLoad   int
 	externalLoadAt time.Time
+	// rate bounds how often attempts start, by the limit that the upstream names.
+	// heldBackAt is when it last kept work from starting.
+	rate       rate
+	heldBackAt time.Time
 }
 
 // Weights of a new sample in the exponential moving averages.
@@ -108,6 +114,7 @@
 	s.down = false
 	s.failureRate = 0
 	s.externalLoad = 0
+	s.rate = rate{}
 	return s
 }
 
@@ -131,6 +138,25 @@
 	return s
 }
 
+// WithRateLimit returns the state after the upstream has named a limit on the requests
+// that it takes from all instances together, or none. An unknown limit changes nothing.
+func (s State) WithRateLimit(now time.Time, limit cyclam.RateLimit) State {
+	s.rate = s.rate.withLimit(now, limit)
+	return s
+}
+
+// WithTrial returns the state after a sign that a rate limit may have ended: one attempt
+// may start, whose answer tells.
+func (s State) WithTrial(now time.Time) State {
+	s.rate = s.rate.withTrial(now)
+	return s
+}
+
+// HeldBack reports whether a rate limit has kept work from starting within the time.
+func (s State) HeldBack(now time.Time, within time.Duration) bool {
+	return !s.heldBackAt.IsZero() && now.Sub(s.heldBackAt) <= within
+}
+
 // WithDown returns the state after a check of whether the upstream accepts
 // connections; down is set if it does not.
 func (s State) WithDown(down bool) State {
@@ -153,6 +179,8 @@
 		ServiceTime: s.serviceTime,
 		Failing:     s.failureRate,
 		Leaving:     s.leaving || !s.known,
+		RateLimit:   s.rate.limit,
+		StartDelay:  s.rate.wait(now, len(s.queue)+1),
 	}
 }
 
@@ -178,9 +206,10 @@
 	if !w.Deadline.After(now) {
 		return s, []Decision{refuse(w.Attempt, cyclam.ReasonDeadlineExceeded, 0)}
 	}
-	if s.running < s.limit(now) && len(s.queue) == 0 {
-		s.running++
-		return s, []Decision{start(w.Attempt)}
+	if len(s.queue) == 0 {
+		if next, ok := s.start(now, w); ok {
+			return next, []Decision{started(w.Attempt)}
+		}
 	}
 	s.queue = append(slices.Clone(s.queue), w)
 	return s.dispatch(now)
@@ -298,7 +327,7 @@
 	return s.dispatch(now)
 }
 
-func start(attempt cyclam.AttemptID) Decision {
+func started(attempt cyclam.AttemptID) Decision {
 	return Decision{
 		Attempt: attempt,
 		Start:   true,
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -105,7 +105,7 @@
 		t.Errorf("retry after: got %v, want at least the time of one run, %v", after, s.serviceTime)
 	}
 	for _, w := range s.queue {
-		if end := at(1).Add(s.expectedWait(0, 1) + s.serviceTime); end.After(s.latestEnd(at(1), w)) {
+		if end := at(1).Add(s.expectedWait(at(1), 0) + s.serviceTime); end.After(s.latestEnd(at(1), w)) {
 			t.Errorf("queued work that is not expected to end in time")
 		}
 	}
--- a/sched/servicetime_test.go
+++ b/sched/servicetime_test.go
@@ -46,7 +46,7 @@
 			if got < want*9/10 || got > want*11/10 {
 				t.Errorf("service time: got %v, want about %v", got, want)
 			}
-			wait, wantWait := test.state.expectedWait(36, 18), mixed.expectedWait(36, 18)
+			wait, wantWait := test.state.expectedWait(at(0), 36), mixed.expectedWait(at(0), 36)
 			if wait < wantWait*9/10 || wait > wantWait*11/10 {
 				t.Errorf("expected wait: got %v, want about %v", wait, wantWait)
 			}
--- a/upstream.go
+++ b/upstream.go
@@ -42,6 +42,10 @@
 	// second. Both are zero if not known.
 	SendBacklog time.Duration
 	LinkRate    float64
+	// RateLimit is the limit that the upstream names. StartDelay is how long a new
+	// attempt would wait for it.
+	RateLimit  RateLimit
+	StartDelay time.Duration
 	// Version is the configuration in force at the node.
 	Version Version
 }
