Drain an upstream once its answers say that it leaves

Callers saw nothing; an upstream that said in its answers that it leaves went on getting requests until it reported it, or to its end if it never does (the rule DRAIN, now from the first such answer on).

Cause: the field was passed on like any other, as the limit was.

The node beside the upstream takes the first such answer, also one that refuses or one of a health check, as it takes a report: no new work after the drain time, the entry in the store says leaving, other nodes keep away. A process does not take its leave back: a late report that it is ready changes nothing. A new process at the address, also one with the same id, starts anew.

TestRestartedUpstreamHasNotLeft and TestHealthCheckTellsRateLimit guard the change.

--- a/proxy/cluster_test.go
+++ b/proxy/cluster_test.go
@@ -95,6 +95,18 @@
 	return n, s.run(n)
 }
 
+// restart runs a new process of a node that has ended, at the same addresses.
+func (s *testCluster) restart(n *Node) *Node {
+	again := &Node{
+		Settings: n.Settings,
+		Platform: n.Platform,
+		Dialect:  n.Dialect,
+		Log:      n.Log,
+	}
+	s.run(again)
+	return again
+}
+
 func (s *testCluster) run(n *Node) func() {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/proxy/network_test.go
+++ b/proxy/network_test.go
@@ -29,6 +29,8 @@
 	// leaving makes all answers say that the upstream leaves.
 	limit   atomic.Pointer[string]
 	leaving atomic.Bool
+	// plainHealth keeps both out of the answers to health checks.
+	plainHealth atomic.Bool
 	// runs, ended and cancelled count the requests that started, returned, and returned
 	// after their connection closed.
 	runs      atomic.Int64
@@ -47,6 +49,9 @@
 
 func (u *upstream) serve(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("X-Instance", u.id)
+	if r.URL.Path == "/health" && u.plainHealth.Load() {
+		return
+	}
 	if limit := u.limit.Load(); limit != nil && *limit != "" {
 		w.Header().Set("X-Limit", *limit)
 	}
--- a/proxy/notice.go
+++ b/proxy/notice.go
@@ -15,7 +15,6 @@
 	// answered.
 	limitSince time.Time
 	answeredAt time.Time
-	leaving    bool
 	// loggedLimit is the last limit that was logged.
 	loggedLimit cyclam.RateLimit
 }
@@ -23,6 +22,7 @@
 // beginProcess resets what belongs to one upstream process.
 func (u *upstreamState) beginProcess() {
 	u.process++
+	u.leaving, u.leavingSince = false, time.Time{}
 	u.said = upstreamSaid{
 		loggedLimit: u.said.loggedLimit,
 	}
@@ -49,7 +49,7 @@
 	now := time.Now()
 	n.upstream.said.answeredAt = now
 	n.setRateLimit(now, meta.RateLimit)
-	n.observeLeaving(meta)
+	n.observeLeaving(now, meta)
 }
 
 // observeHealth applies what the answer to a health check says of the known upstream
@@ -62,7 +62,7 @@
 	} else {
 		n.decideLocked(func(s sched.State) (sched.State, []sched.Decision) { return s.WithTrial(now).Tick(now) })
 	}
-	n.observeLeaving(meta)
+	n.observeLeaving(now, meta)
 }
 
 // setRateLimit applies a limit that the upstream has named. The caller holds schedMu.
@@ -78,11 +78,13 @@
 }
 
 // observeLeaving records that the upstream says that it leaves. The caller holds schedMu.
-func (n *Node) observeLeaving(meta cyclam.AnswerMeta) {
-	if meta.Leaving && !n.upstream.said.leaving {
-		n.upstream.said.leaving = true
-		n.Log.Info("upstream-says-leaving", "upstream", n.upstream.id)
+func (n *Node) observeLeaving(now time.Time, meta cyclam.AnswerMeta) {
+	if !meta.Leaving || n.upstream.leaving {
+		return
 	}
+	n.Log.Info("upstream-says-leaving", "upstream", n.upstream.id)
+	n.markLeaving(now)
+	n.requestEntryWrite()
 }
 
 // limitRecheck is the time without an answer after which an upstream with a rate limit is
--- a/proxy/upstream.go
+++ b/proxy/upstream.go
@@ -21,7 +21,10 @@
 	// withdrawnID and withdrawnStart identify the process that was withdrawn last.
 	withdrawnID    string
 	withdrawnStart time.Time
-	leaving        bool
+	// leaving is set once the process has said in any way that it is about to stop;
+	// leavingSince is when this was first known to the nodes.
+	leaving      bool
+	leavingSince time.Time
 	// process counts the upstream processes that this node has met at the address.
 	process uint64
 	// lastID is the id of the last process that was known.
@@ -54,10 +57,9 @@
 		return nil
 	}
 	newProcess := known.id != status.ID || !known.startedAt.IsZero() && !known.startedAt.Equal(status.StartedAt)
-	leaving := status.Leaving || known.withdrawnID == status.ID && known.withdrawnStart.Equal(status.StartedAt)
+	withdrawn := known.withdrawnID == status.ID && known.withdrawnStart.Equal(status.StartedAt)
 	n.upstream.id, n.upstream.lastID = status.ID, status.ID
 	n.upstream.startedAt, n.upstream.sequence = status.StartedAt, status.Sequence
-	n.upstream.leaving = leaving
 	if newProcess {
 		n.upstream.beginProcess()
 	}
@@ -66,9 +68,10 @@
 	} else {
 		n.scheduler = n.scheduler.WithDown(false).WithSlots(status.Slots)
 	}
-	if leaving {
-		n.scheduler = n.scheduler.WithLeaving(now)
+	if status.Leaving || withdrawn {
+		n.markLeaving(now)
 	}
+	leaving := n.upstream.leaving
 	n.schedMu.Unlock()
 	if newProcess || leaving != known.leaving {
 		n.Log.Info("upstream-changed",
@@ -109,11 +112,11 @@
 	n.schedMu.Lock()
 	current := n.upstream.id == id && (startedAt.IsZero() || n.upstream.startedAt.IsZero() || n.upstream.startedAt.Equal(startedAt))
 	if current || n.upstream.id == "" {
-		n.upstream.withdrawnID, n.upstream.withdrawnStart, n.upstream.leaving = id, startedAt, true
 		if !startedAt.IsZero() {
 			n.upstream.startedAt = startedAt
 		}
-		n.scheduler = n.scheduler.WithLeaving(now)
+		n.markLeaving(now)
+		n.upstream.withdrawnID, n.upstream.withdrawnStart = id, startedAt
 	}
 	n.schedMu.Unlock()
 	n.Log.Info("upstream-leaves", "upstream", id, "current", current)
@@ -123,6 +126,16 @@
 	return nil
 }
 
+// markLeaving records that the upstream process is about to stop, and that this is known
+// since a time. The caller holds schedMu.
+func (n *Node) markLeaving(since time.Time) {
+	if !n.upstream.leaving || since.Before(n.upstream.leavingSince) {
+		n.upstream.leavingSince = since
+	}
+	n.upstream.leaving = true
+	n.scheduler = n.scheduler.WithLeaving(since)
+}
+
 func (n *Node) upstreamID() string {
 	n.schedMu.Lock()
 	defer n.schedMu.Unlock()
@@ -251,7 +264,6 @@
 	defer n.schedMu.Unlock()
 	n.upstream.withdrawnID = id
 	if n.upstream.id == id {
-		n.upstream.leaving = true
-		n.scheduler = n.scheduler.WithLeaving(time.Now())
+		n.markLeaving(time.Now())
 	}
 }
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -127,14 +127,14 @@
 	return s
 }
 
-// WithLeaving returns the state after the upstream announced that it is leaving.
-// Work may start for the drain time from the first announcement on.
-func (s State) WithLeaving(now time.Time) State {
-	if s.leaving {
-		return s
+// WithLeaving returns the state after the upstream announced, at time since, that it is
+// leaving. Work may start for the drain time from the earliest announcement on.
+func (s State) WithLeaving(since time.Time) State {
+	drainEnd := since.Add(s.Tuning.Drain)
+	if !s.leaving || drainEnd.Before(s.drainEnd) {
+		s.drainEnd = drainEnd
 	}
 	s.leaving = true
-	s.drainEnd = now.Add(s.Tuning.Drain)
 	return s
 }
 
