Let limits and leaves survive a restart of the node beside the upstream

Callers saw nothing; after a restart of one node, an upstream that had said that it leaves was in use again, and one with a limit got a burst: 70 requests in 4 s where 23 were allowed (TestRateLimitSurvivesRestart before).

Cause: what an upstream has said in its answers was known to the process beside it alone. The store's entry keeps a leave, but not while the store is away, and it is no place for limits, which change with answers.

Every node that has passed on such an answer has got the notice with it (id and start of the upstream's process, limit, age of the leave). It returns the notice with its offers and on new connections, and a node applies it if it is of the present process of its upstream: a leave from its earliest time on, so that a node whose clock stood still is bound too, and a limit until the upstream has answered it. So a node is told by the very request that would break the rule.

TestLeavingAnswerSurvivesRestart (store away, health check silent): served by the leaving upstream before, refused now. TestRateLimitSurvivesRestart: within 23 now. TestLeaveHeardLaterIsOlder covers the clock.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -59,6 +59,9 @@
 	o.RemainingUs = c.deadline.Sub(now).Microseconds()
 	o.GoalUs = c.goal.Sub(now).Microseconds()
 	o.Version = uint64(c.version)
+	c.node.mu.Lock()
+	o.Notice = c.node.fleet.noticeFor(target.Endpoint.Instance, now)
+	c.node.mu.Unlock()
 	return o
 }
 
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -9,9 +9,11 @@
 	"github.com/cyclamensaddle/cyclam/wire"
 )
 
-// knowledge returns the message for a node that has the given configuration in force: its missing configuration, this node's endpoint and the
-// loads. If full is set, the endpoints of the whole fleet are added.
-func (n *Node) knowledge(has configID, full bool) *wire.Knowledge {
+// knowledge returns the message for a node that has the given configuration in force: its
+// missing configuration, this node's endpoint, the loads, and what is known of the
+// receiver's upstream, if the receiver is named. If full is set, the endpoints of the whole
+// fleet are added.
+func (n *Node) knowledge(receiver cyclam.InstanceName, has configID, full bool) *wire.Knowledge {
 	self, _ := n.endpoint()
 	packed, base, newest, err := n.configHistory.encodeFor(has)
 	if err != nil {
@@ -28,11 +30,12 @@
 	}
 	k.StoreEra, _ = n.storeEras.Current()
 	k.Loads = n.gossipLoads()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	k.Notice = n.fleet.noticeFor(receiver, time.Now())
 	if !full {
 		return k
 	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
 	for _, m := range n.fleet.members {
 		k.Endpoints = append(k.Endpoints, codec.EncodeEndpoint(m.view.Endpoint))
 	}
@@ -42,7 +45,7 @@
 // exchange sends this node's knowledge and merges the reply. If the other node is
 // behind or asks for the whole fleet, a second message follows.
 func (n *Node) exchange(ctx context.Context, client wire.DoorClient) error {
-	reply, err := client.Exchange(ctx, n.knowledge(n.configHistory.newest(), false))
+	reply, err := client.Exchange(ctx, n.knowledge("", n.configHistory.newest(), false))
 	if err != nil {
 		return err
 	}
@@ -52,7 +55,7 @@
 		}
 	}
 	if reply.Full || n.configHistory.newest().replaces(configIDOf(reply)) {
-		_, err = client.Exchange(ctx, n.knowledge(configIDOf(reply), reply.Full))
+		_, err = client.Exchange(ctx, n.knowledge(cyclam.InstanceName(reply.Self.GetInstance()), configIDOf(reply), reply.Full))
 	}
 	return err
 }
@@ -60,7 +63,7 @@
 // requestWhole asks a node for its whole configuration, because this node does not have
 // the same text of the version on which that node has based a difference.
 func (n *Node) requestWhole(ctx context.Context, client wire.DoorClient, peer configID) error {
-	request := n.knowledge(peer, false)
+	request := n.knowledge("", peer, false)
 	request.Version, request.ConfigDigest, request.ConfigEra = 0, 0, 0
 	reply, err := client.Exchange(ctx, request)
 	if err == nil {
@@ -90,6 +93,9 @@
 		n.Log.Info("store-era-heard", "era", k.StoreEra, "peer", k.Self.GetInstance())
 	}
 	n.mergeLoads(k.Loads)
+	n.schedMu.Lock()
+	n.hear(k.Notice, time.Now())
+	n.schedMu.Unlock()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if k.Self != nil {
--- a/proxy/fleet.go
+++ b/proxy/fleet.go
@@ -42,12 +42,16 @@
 	// known is set once the store or another node has provided the list of nodes.
 	known bool
 	store storeView
+	// notices holds what the upstreams of other nodes have said of themselves. They
+	// outlast a node's absence from members.
+	notices map[cyclam.InstanceName]notice
 }
 
 func newFleet(self cyclam.Endpoint) fleet {
 	return fleet{
 		self:    self,
 		members: map[cyclam.InstanceName]*member{},
+		notices: map[cyclam.InstanceName]notice{},
 	}
 }
 
@@ -139,6 +143,7 @@
 		return
 	}
 	m.view.Load = decodeLoad(l)
+	n.fleet.noteNotice(name, l, time.Now())
 	if inc := cyclam.Incarnation(l.Incarnation); inc != 0 && inc != m.view.Endpoint.Incarnation {
 		n.fleet.store.noteEnded(m.view.Endpoint.Identity, time.Now())
 		m.view.Endpoint.Incarnation = inc
--- a/proxy/leaving_test.go
+++ b/proxy/leaving_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"net/http"
 	"testing"
 	"time"
@@ -41,6 +42,37 @@
 	}
 }
 
+// A leave that only answers have told must hold after a restart of the node beside the
+// upstream, though the store is away and the health check does not tell.
+func TestLeavingAnswerSurvivesRestart(t *testing.T) {
+	s := newTestCluster(t)
+	u := newUpstream(t, "u1")
+	u.plainHealth.Store(true)
+	backend, kill := s.launch("door", u, nil)
+	front := s.start("front", nil, nil)
+	s.awaitReady(backend, front)
+	s.platform.down.Store(true)
+	u.leaving.Store(true)
+	s.want(front, http.MethodPost, "/book/x", http.StatusOK)
+	sleep(t.Context(), backend.Settings.Drain)
+	kill()
+	restarted := s.restart(backend)
+	before := u.runs.Load()
+	s.waitFor("the new process has identified the upstream", func() bool {
+		status, _, _, err := s.request(t.Context(), front, http.MethodPost, "/book/x", time.Second)
+		if err == nil && status == http.StatusOK {
+			t.Error("got a request answered by an upstream that leaves, want none")
+		}
+		return restarted.upstreamID() == "u1"
+	})
+	for range 5 {
+		s.want(front, http.MethodPost, "/book/x", http.StatusServiceUnavailable)
+	}
+	if got := u.runs.Load() - before; got != 0 {
+		t.Errorf("runs after the restart: got %d, want 0", got)
+	}
+}
+
 // A new process of the upstream must be used, though it has taken over the id of one that
 // had left.
 func TestRestartedUpstreamHasNotLeft(t *testing.T) {
@@ -74,6 +106,63 @@
 	}
 }
 
+// The time since when another node knows of a leave counts: the own clock may have stood
+// still.
+func TestLeaveHeardLaterIsOlder(t *testing.T) {
+	s := newTestCluster(t)
+	u := newUpstream(t, "u1")
+	backend := s.start("door", u, nil)
+	s.awaitReady(backend)
+	now := time.Now()
+	heard := notice{
+		upstream:     "u1",
+		leavingSince: now.Add(-backend.Settings.Drain),
+	}
+	backend.schedMu.Lock()
+	backend.markLeaving(now)
+	backend.hear(heard.encode(now), now)
+	backend.schedMu.Unlock()
+	s.want(backend, http.MethodPost, "/book/x", http.StatusServiceUnavailable)
+	if got := u.runs.Load(); got != 0 {
+		t.Errorf("runs: got %d, want 0", got)
+	}
+}
+
+// The limit must hold through a restart of the node beside the upstream for the nodes that
+// have passed on an answer with it, though the health check does not tell.
+func TestRateLimitSurvivesRestart(t *testing.T) {
+	s := newTestCluster(t)
+	u, got := newUpstream(t, "u1"), &arrivals{}
+	respond := respondAfter(400 * time.Millisecond)
+	u.work = func(w http.ResponseWriter, r *http.Request) {
+		got.add()
+		respond(w, r)
+	}
+	u.plainHealth.Store(true)
+	backend := s.node("door", u, nil)
+	backend.Settings.Self.Slots = 60
+	kill := s.run(backend)
+	front := s.start("front", nil, nil)
+	s.awaitReady(backend, front)
+	const limit = 3
+	u.nameLimit("3")
+	s.want(front, http.MethodPost, "/book/x", http.StatusOK)
+	told := time.Now().Add(limitNotice)
+	ctx, cancel := context.WithTimeout(t.Context(), 6*time.Second)
+	defer cancel()
+	end := s.insist(ctx, front, 60, "/book/x")
+	sleep(ctx, 2*time.Second)
+	kill()
+	restarted := s.restart(backend)
+	end()
+	if got, most := got.most(told, limitSpan), limitBound(limit); got > most {
+		t.Errorf("requests in %v: got %d, want at most %d for a limit of %v a second", limitSpan, got, most, limit)
+	}
+	if restarted.meters.upstreamRequests.Count() == 0 {
+		t.Error("requests after the restart: got 0, want some")
+	}
+}
+
 // A node that starts beside an upstream with a limit must keep it from the first request
 // on if the health check tells it.
 func TestHealthCheckTellsRateLimit(t *testing.T) {
@@ -89,3 +178,43 @@
 		t.Errorf("requests: got %d, want 0", got)
 	}
 }
+
+func TestNotice(t *testing.T) {
+	now := time.UnixMilli(1_000_000)
+	born := time.UnixMilli(5000)
+	limited := notice{
+		upstream:  "u1",
+		startedAt: born,
+		limit:     cyclam.RateLimitOf(6.4),
+		heardAt:   now,
+	}
+	leaving := notice{
+		upstream:     "u1",
+		startedAt:    born,
+		leavingSince: now.Add(-time.Second),
+		heardAt:      now,
+	}
+	both := leaving
+	both.limit = limited.limit
+	for name, want := range map[string]notice{"limited": limited, "leaving": leaving, "both": both} {
+		if got := decodeNotice(want.encode(now), now); got != want {
+			t.Errorf("%s: got %+v, want %+v", name, got, want)
+		}
+	}
+	if got := (notice{upstream: "u1", limit: cyclam.NoRateLimit()}).encode(now); got != nil {
+		t.Errorf("nothing to tell: got %v, want no message", got)
+	}
+	if got := leaving.with(limited); got != both {
+		t.Errorf("limit after leave: got %+v, want %+v", got, both)
+	}
+	older := leaving
+	older.leavingSince = now.Add(-time.Minute)
+	if got := older.with(leaving); got != older {
+		t.Errorf("the same leave again: got %+v, want %+v", got, older)
+	}
+	reborn := limited
+	reborn.startedAt = born.Add(time.Minute)
+	if got := leaving.with(reborn); got != reborn {
+		t.Errorf("another process: got %+v, want %+v", got, reborn)
+	}
+}
--- a/proxy/load.go
+++ b/proxy/load.go
@@ -25,29 +25,16 @@
 		Incarnation:   uint64(incarnation),
 		SendingUs:     uint32(l.SendBacklog.Microseconds()),
 		LinkKbps:      uint32(l.LinkRate / linkRateUnit),
-		Notice:        encodeRateLimit(l.RateLimit),
-		NoticeKnown:   l.RateLimit.Known(),
+		LimitKnown:    l.RateLimit.Known(),
 		StartDelayUs:  uint32(l.StartDelay.Microseconds()),
 	}
 }
 
-// encodeRateLimit returns the notice of a limit; nil if there is none or it is not known.
-func encodeRateLimit(r cyclam.RateLimit) *wire.UpstreamNotice {
-	perSecond, limited := r.PerSecond()
-	if !limited {
-		return nil
-	}
-	return &wire.UpstreamNotice{
-		Limited:   true,
-		RateLimit: perSecond,
-	}
-}
-
 func decodeRateLimit(l *wire.Load) cyclam.RateLimit {
 	switch {
 	case l.GetNotice().GetLimited():
 		return cyclam.RateLimitOf(l.Notice.RateLimit)
-	case l.GetNoticeKnown():
+	case l.GetLimitKnown():
 		return cyclam.NoRateLimit()
 	default:
 		return cyclam.RateLimit{}
@@ -108,9 +95,11 @@
 		if age > gossipMaxAge || !notable(m.view.Load) {
 			continue
 		}
+		load := encodeLoad(m.view.Load, m.view.Endpoint.Incarnation)
+		load.Notice = n.fleet.noticeFor(name, now)
 		reports = append(reports, &wire.NodeLoad{
 			Instance: string(name),
-			Load:     encodeLoad(m.view.Load, m.view.Endpoint.Incarnation),
+			Load:     load,
 			AgeUs:    age.Microseconds(),
 		})
 		if len(reports) == gossipMaxLoads {
@@ -135,6 +124,7 @@
 		if at.After(m.view.LoadAt) {
 			m.view.Load = decodeLoad(r.GetLoad())
 			m.view.LoadAt = at
+			n.fleet.noteNotice(cyclam.InstanceName(r.GetInstance()), r.GetLoad(), at)
 		}
 	}
 }
--- a/proxy/node.go
+++ b/proxy/node.go
@@ -79,6 +79,8 @@
 	// answerBytes holds the mean bytes of the local upstream's answers, by route.
 	answerBytes map[string]float64
 	upstream    upstreamState
+	// hearsay holds what other nodes have heard of the local upstream, by its id.
+	hearsay map[string]notice
 
 	pacer linkPacer
 
@@ -144,6 +146,7 @@
 	n.jobs = map[cyclam.AttemptID]*job{}
 	n.runningByID = map[string]int{}
 	n.answerBytes = map[string]float64{}
+	n.hearsay = map[string]notice{}
 	n.links = map[string]*link{}
 	n.pacer.state = pace.State{
 		Rate: paceShare * n.Settings.LinkRate,
@@ -210,6 +213,9 @@
 				n.origin.Expire()
 				n.logRateLimit(now)
 				n.recheckRateLimit(ctx, now)
+				n.mu.Lock()
+				n.fleet.expireNotices(now)
+				n.mu.Unlock()
 				n.cancelAbandoned(now)
 				n.expireJobs(now)
 				go n.deleteUnreachable(ctx, now)
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -117,7 +117,7 @@
 // this node is not ready, it asks for the whole fleet.
 func (p *peerServer) Exchange(_ context.Context, k *wire.Knowledge) (*wire.Knowledge, error) {
 	p.node.applyKnowledge(k)
-	reply := p.node.knowledge(configIDOf(k), k.Full)
+	reply := p.node.knowledge(cyclam.InstanceName(k.Self.GetInstance()), configIDOf(k), k.Full)
 	reply.Full = !p.node.Ready() && !p.node.stopping.Load()
 	return reply, nil
 }
--- a/proxy/reissue_test.go
+++ b/proxy/reissue_test.go
@@ -74,8 +74,8 @@
 	older, newer := newFleetNode(), newFleetNode()
 	older.applyConfig(configSpec(t, 10, time.Second), 1, "store")
 	newer.applyConfig(configSpec(t, 10, 2*time.Second), 2, "store")
-	newer.applyKnowledge(older.knowledge(newer.configHistory.newest(), false))
-	older.applyKnowledge(newer.knowledge(older.configHistory.newest(), false))
+	newer.applyKnowledge(older.knowledge("", newer.configHistory.newest(), false))
+	older.applyKnowledge(newer.knowledge("", older.configHistory.newest(), false))
 	for name, n := range map[string]*Node{"older": older, "newer": newer} {
 		if got, want := timeoutInForce(n), 2*time.Second; got != want {
 			t.Errorf("%s: got timeout %v, want %v", name, got, want)
@@ -90,7 +90,7 @@
 	sender.applyConfig(configSpec(t, 10, 2*time.Second), 2, "store")
 	sender.applyConfig(configSpec(t, 11, 2*time.Second), 2, "store")
 	receiver.applyConfig(configSpec(t, 10, time.Second), 1, "store")
-	k := sender.knowledge(receiver.configHistory.newest(), false)
+	k := sender.knowledge("", receiver.configHistory.newest(), false)
 	if got, want := k.ConfigBase, uint64(0); got != want {
 		t.Errorf("base of what is sent: got version %d, want %d", got, want)
 	}
@@ -99,7 +99,7 @@
 	}
 	other := newFleetNode()
 	other.applyConfig(configSpec(t, 10, time.Second), 1, "store")
-	k = sender.knowledge(configID{
+	k = sender.knowledge("", configID{
 		version: 10,
 	}, false)
 	if other.applyKnowledge(k) || other.version() != 10 {
@@ -124,7 +124,7 @@
 		{name: "unknown version", has: 4, sent: true, base: 0},
 	}
 	for _, test := range tests {
-		k := n.knowledge(configID{
+		k := n.knowledge("", configID{
 			version: test.has,
 		}, false)
 		if got := len(k.Config) > 0; got != test.sent || k.ConfigBase != test.base {
@@ -133,7 +133,7 @@
 	}
 	n.applyConfig(configSpec(t, 10, 2*time.Second), 2, "store")
 	n.applyConfig(configSpec(t, 11, 2*time.Second), 2, "store")
-	k := n.knowledge(configID{
+	k := n.knowledge("", configID{
 		version: 10,
 	}, false)
 	if got, want := k.ConfigBase, uint64(0); got != want {
@@ -177,7 +177,7 @@
 
 // Exchange answers by version alone.
 func (p *olderPeer) Exchange(_ context.Context, k *wire.Knowledge, _ ...grpc.CallOption) (*wire.Knowledge, error) {
-	reply := p.node.knowledge(configID{
+	reply := p.node.knowledge("", configID{
 		version: cyclam.Version(k.Version),
 	}, false)
 	reply.StoreEra, reply.ConfigEra, reply.ConfigDigest = 0, 0, 0
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -83,6 +83,7 @@
 		return nil, declined(cyclam.ReasonWrongTarget, 0)
 	}
 	now := time.Now()
+	n.hear(offer.Notice, now)
 	j := newJob(context.Background(), offer, attempt, now)
 	goal := now.Add(time.Duration(offer.GoalUs) * time.Microsecond)
 	if bytes := int(n.answerBytes[offer.Route]); bytes >= largeAnswerBytes {
@@ -397,9 +398,12 @@
 	now := time.Now()
 	n.schedMu.Lock()
 	l := n.scheduler.Load(now)
+	notice := n.ownNotice()
 	n.schedMu.Unlock()
 	l.Leaving = l.Leaving || n.closedToPeers(now)
 	l.Version = n.version()
 	l.SendBacklog, l.LinkRate = n.pacer.backlog(now), n.Settings.LinkRate
-	return encodeLoad(l, n.self.Incarnation)
+	encoded := encodeLoad(l, n.self.Incarnation)
+	encoded.Notice = notice.encode(now)
+	return encoded
 }
--- a/proxy/upstream.go
+++ b/proxy/upstream.go
@@ -71,6 +71,7 @@
 	if status.Leaving || withdrawn {
 		n.markLeaving(now)
 	}
+	n.applyHearsay(now)
 	leaving := n.upstream.leaving
 	n.schedMu.Unlock()
 	if newProcess || leaving != known.leaving {
@@ -219,6 +220,7 @@
 		n.scheduler = n.scheduler.WithUpstream(0)
 	}
 	n.upstream.id, n.upstream.lastID = id, id
+	n.applyHearsay(time.Now())
 	n.requestEntryWrite()
 }
 
