Tell a late report of a process that has left from a new process

Callers saw nothing; after a restart of the node beside an upstream that had deregistered, a report that the upstream had sent before, and that came late, put it in use again.

Cause: the entry in the store kept the id of the process that had left but not its start, so the restarted node took any report with that id for a new process. The entry of a leaving upstream now holds the start time, and a report of the same process no longer ends the leave. A new process with the same id is used as before. Entries of the build before lack the field and are read as before.

TestLateReportAfterRestart: 200 from the upstream that had left before, 503 now, and 200 once a new process reports.

--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -20,9 +20,12 @@
 	Control     string `json:"control"`
 	Slots       uint32 `json:"slots"`
 	// Upstream is the id of the upstream process beside the node; Leaving is set once
-	// that process has been withdrawn. A restarting node reads both.
-	Upstream string `json:"upstream"`
-	Leaving  bool   `json:"leaving"`
+	// that process has been withdrawn. StartedMs is its start by its own clock, in
+	// milliseconds since the Unix epoch; zero if it is not known or the process does not
+	// leave. A restarting node reads these.
+	Upstream  string `json:"upstream"`
+	Leaving   bool   `json:"leaving"`
+	StartedMs int64  `json:"started-ms,omitempty"`
 	// Sequence orders the entries of one incarnation; zero if an older build wrote it.
 	Sequence uint64 `json:"sequence,omitempty"`
 }
@@ -94,6 +97,10 @@
 	default:
 		e.State = cyclam.EndpointDown
 	}
+	startedMs := int64(0)
+	if up.leaving && !up.startedAt.IsZero() {
+		startedMs = up.startedAt.UnixMilli()
+	}
 	announced := n.entry.announce(entry{
 		Incarnation: uint64(e.Incarnation),
 		State:       e.State.String(),
@@ -104,6 +111,7 @@
 		Slots:       e.Slots,
 		Upstream:    up.id,
 		Leaving:     up.leaving,
+		StartedMs:   startedMs,
 	})
 	e.Sequence = announced.Sequence
 	return e, announced
@@ -177,7 +185,11 @@
 	}
 	n.entry.mu.Unlock()
 	if first && stored.Leaving && stored.Incarnation != uint64(n.self.Incarnation) {
-		n.restoreWithdrawal(stored.Upstream)
+		var startedAt time.Time
+		if stored.StartedMs != 0 {
+			startedAt = time.UnixMilli(stored.StartedMs)
+		}
+		n.restoreWithdrawal(stored.Upstream, startedAt)
 	}
 	n.requestEntryWrite()
 }
--- a/proxy/leaving_test.go
+++ b/proxy/leaving_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -73,6 +74,56 @@
 	}
 }
 
+// A report that the upstream had sent before it left may arrive late, after a restart of
+// the node beside it. It must not bring the upstream back.
+func TestLateReportAfterRestart(t *testing.T) {
+	s := newTestCluster(t)
+	u := newUpstream(t, "u1")
+	backend, kill := s.launch("door", u, nil)
+	s.awaitReady(backend)
+	ready := cyclam.UpstreamStatus{
+		ID:        "u1",
+		StartedAt: time.UnixMilli(1),
+		Sequence:  1,
+		Service:   "stock",
+		Address:   backend.Settings.Upstream,
+		Slots:     2,
+	}
+	if err := backend.Announce(ready); err != nil {
+		t.Fatal(err)
+	}
+	if err := backend.Withdraw("u1", ready.StartedAt); err != nil {
+		t.Fatal(err)
+	}
+	s.waitFor("the store holds the withdrawal", func() bool {
+		o, err := s.platform.Get(t.Context(), cyclam.Key{
+			Kind: cyclam.KindEndpoint,
+			Name: "door",
+		})
+		return err == nil && strings.Contains(string(o.Spec), `"leaving":true`)
+	})
+	kill()
+	restarted := s.restart(backend)
+	s.waitFor("the new process is ready", restarted.Ready)
+	ready.Sequence++
+	if err := restarted.Announce(ready); err != nil {
+		t.Fatal(err)
+	}
+	sleep(t.Context(), restarted.Settings.Drain)
+	before := u.runs.Load()
+	for range 5 {
+		s.want(restarted, http.MethodPost, "/book/x", http.StatusServiceUnavailable)
+	}
+	if got := u.runs.Load() - before; got != 0 {
+		t.Errorf("runs after a late report: got %d, want 0", got)
+	}
+	ready.StartedAt, ready.Sequence = time.UnixMilli(2), 1
+	if err := restarted.Announce(ready); err != nil {
+		t.Fatal(err)
+	}
+	s.want(restarted, http.MethodPost, "/book/x", http.StatusOK)
+}
+
 // A new process of the upstream must be used, though it has taken over the id of one that
 // had left.
 func TestRestartedUpstreamHasNotLeft(t *testing.T) {
--- a/proxy/upstream.go
+++ b/proxy/upstream.go
@@ -111,7 +111,7 @@
 	}
 	now := time.Now()
 	n.schedMu.Lock()
-	current := n.upstream.id == id && (startedAt.IsZero() || n.upstream.startedAt.IsZero() || n.upstream.startedAt.Equal(startedAt))
+	current := n.upstream.isProcess(id, startedAt)
 	if current || n.upstream.id == "" {
 		if !startedAt.IsZero() {
 			n.upstream.startedAt = startedAt
@@ -259,13 +259,19 @@
 	}, nil
 }
 
-// restoreWithdrawal applies a withdrawal of the upstream with this id that an earlier
-// process of this node has stored.
-func (n *Node) restoreWithdrawal(id string) {
+// restoreWithdrawal applies a withdrawal of the upstream process with this id and start
+// time, which may not be known, that an earlier process of this node has stored.
+func (n *Node) restoreWithdrawal(id string, startedAt time.Time) {
 	n.schedMu.Lock()
 	defer n.schedMu.Unlock()
-	n.upstream.withdrawnID = id
-	if n.upstream.id == id {
+	n.upstream.withdrawnID, n.upstream.withdrawnStart = id, startedAt
+	if n.upstream.isProcess(id, startedAt) {
 		n.markLeaving(time.Now())
 	}
 }
+
+// isProcess reports whether the known process has this id and start time. One without a
+// start time is told apart by its id alone.
+func (u *upstreamState) isProcess(id string, startedAt time.Time) bool {
+	return u.id == id && (startedAt.IsZero() || u.startedAt.IsZero() || u.startedAt.Equal(startedAt))
+}
