Give up an answer whose head does not end

What callers would see: a node that runs out of memory and is killed, with every request on it, because one upstream writes a head without end.

Cause: http.ReadResponse bounds neither a line nor the number of fields, and the body of an answer to another request was skipped without a bound. Class: input of an upstream whose length it alone decides.

The connection to the upstream now allows 64 KiB for the head of an answer and 1 MiB for what is skipped before it; beyond that the exchange fails and the connection is closed. Health checks get the same bound.

--- a/origin/conn.go
+++ b/origin/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -18,6 +19,8 @@
 	net.Conn
 
 	reader *bufio.Reader
+	// readable is how many more bytes may be read.
+	readable int
 	// idleSince is when the last exchange ended; the connection may be reused
 	// until idleTimeout later.
 	idleSince   time.Time
@@ -27,6 +30,25 @@
 	idleRead chan error
 }
 
+// unbounded allows any number of bytes to be read.
+const unbounded = math.MaxInt
+
+// allow sets how many more bytes may be read from the socket; those in the reader's buffer
+// don't count.
+func (c *conn) allow(bytes int) { c.readable = bytes }
+
+// Read reads from the socket. It returns ErrTooLong once the allowed bytes have been read.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.readable <= 0 {
+		return 0, ErrTooLong
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.readable)])
+	if c.readable != unbounded {
+		c.readable -= n
+	}
+	return n, err
+}
+
 // abort makes pending and later reads and writes fail at once.
 func (c *conn) abort() { _ = c.SetDeadline(time.Unix(1, 0)) }
 
@@ -93,11 +115,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{
+	c := &conn{
 		Conn:        raw,
-		reader:      bufio.NewReaderSize(raw, readBufferSize),
+		readable:    unbounded,
 		idleTimeout: defaultIdleTimeout,
-	}, nil
+	}
+	c.reader = bufio.NewReaderSize(c, readBufferSize)
+	return c, nil
 }
 
 // readBufferSize, in bytes, is large enough for the header of most answers.
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -59,6 +59,9 @@
 	ErrNotSent = errors.New("upstream does not accept connections")
 	// ErrForeign means that the answers received belong to other requests.
 	ErrForeign = errors.New("answer belongs to another request")
+	// ErrTooLong means that the head of an answer, or what is skipped before an answer,
+	// exceeds its bound.
+	ErrTooLong = errors.New("answer exceeds the bound on its length")
 	// ErrUnsigned means that an answer with a 2xx status lacks the upstream's
 	// signature.
 	ErrUnsigned = errors.New("success without the upstream's signature")
@@ -92,6 +95,10 @@
 	// maxAnswerReads bounds how many answers are read for one request, including
 	// interim (1xx) answers and late answers to earlier requests.
 	maxAnswerReads = 3
+	// maxHeadBytes bounds the head of an answer, maxSkippedBytes the body of an answer
+	// to another request: an upstream in trouble may write either without end.
+	maxHeadBytes    = 64 << 10
+	maxSkippedBytes = 1 << 20
 )
 
 // Do sends a request and passes its answer to the sink. It returns an error that
@@ -152,7 +159,9 @@
 // readAnswer reads the head of the answer to a request. It skips interim answers
 // and late answers to other requests.
 func (p *Pool) readAnswer(c *conn, req Request) (Head, io.Reader, error) {
+	defer c.allow(unbounded)
 	for range maxAnswerReads {
+		c.allow(maxHeadBytes)
 		resp, err := http.ReadResponse(c.reader, &http.Request{
 			Method: req.Method,
 		})
@@ -167,6 +176,7 @@
 		// request, or another upstream listens at the address.
 		anonymous := meta.ID == "" && (meta.NotRun || meta.Misdirected)
 		if req.ID != "" && meta.ID != req.ID && !anonymous {
+			c.allow(maxSkippedBytes)
 			if err := skipBody(resp); err != nil {
 				return Head{}, nil, err
 			}
--- a/proxy/upstream.go
+++ b/proxy/upstream.go
@@ -156,6 +156,8 @@
 const (
 	// probeTimeout bounds one health check.
 	probeTimeout = 700 * time.Millisecond
+	// healthAnswerLimit bounds the head and the body of its answer each, in bytes.
+	healthAnswerLimit = 64 << 10
 	// identifyInterval is the pause between health checks of a node that has just
 	// started and has not received a status of its upstream.
 	identifyInterval = 400 * time.Millisecond
@@ -237,8 +239,9 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	transport := &http.Transport{
-		DialContext:       func(ctx context.Context, _, address string) (net.Conn, error) { return n.Dial(ctx, address) },
-		DisableKeepAlives: true,
+		DialContext:            func(ctx context.Context, _, address string) (net.Conn, error) { return n.Dial(ctx, address) },
+		DisableKeepAlives:      true,
+		MaxResponseHeaderBytes: healthAnswerLimit,
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.Settings.Upstream+path, nil)
 	if err != nil {
@@ -249,7 +252,7 @@
 		return health{}, cyclam.AtStep("health check", n.Settings.Upstream, err)
 	}
 	defer resp.Body.Close()
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, healthAnswerLimit)); err != nil {
 		return health{}, cyclam.AtStep("health check", n.Settings.Upstream, err)
 	}
 	return health{
