Bound the memory of buffered answers in all

What callers would see: a node killed for its memory, with every request on it. An answer was bounded by its body's bytes, 1 MiB, but one that comes byte by byte took 102 MB (TestSmallPiecesAreBounded before), and nothing bounded all answers together, neither beside the upstream nor at the callers' nodes.

Cause: the size of what an upstream writes was counted, not the memory that it takes, and one answer at a time. Class: input of an upstream whose length it alone decides.

A node now counts what all its answers hold, pieces with an overhead. Beyond 32 MiB each answer may hold 64 KiB: at the upstream's node it waits for its reader, at the caller's node it is streamed. A stated length no longer reserves more than 64 KiB.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -32,6 +32,8 @@
 	accepted bool
 	// leaving is set once the node has told that it is about to stop.
 	leaving bool
+	// held counts the memory of what is received for the call.
+	held *heldAnswers
 	// suspectAfter is the number of interruptions after which the attempt is reported
 	// as suspect.
 	suspectAfter int
@@ -207,8 +209,8 @@
 
 func (a *attempt) ackLimit() time.Duration { return 3*a.target.RTT + ackSlack }
 
-// collect reads replies until the attempt has ended or its answer exceeds
-// answerBufferLimit bytes; the rest is then returned as a stream. finish is called once
+// collect reads replies until the attempt has ended or its answer exceeds the bytes that
+// one answer may hold; the rest is then returned as a stream. finish is called once
 // nothing more is read; nil is allowed. The attempt is revoked if ctx ends before the
 // rest has been read.
 func (a *attempt) collect(ctx context.Context, source replyReader, finish func()) (cyclam.Completion, *answerRest, error) {
@@ -235,7 +237,7 @@
 				return completion, nil, nil
 			}
 		}
-		if len(partial.answer.Body) > answerBufferLimit {
+		if len(partial.answer.Body) > a.node.answers.perAnswer() {
 			return doneWith(partial.answer), &answerRest{
 				source: source,
 				finish: done,
@@ -267,6 +269,7 @@
 		r.answer = decodeHead(k.Head)
 	case *wire.Reply_Chunk:
 		r.answer.Body = append(r.answer.Body, k.Chunk...)
+		a.held.add(len(k.Chunk))
 	case *wire.Reply_End:
 		if k.End.Reason != "" || r.answer.Status == 0 {
 			return unknown(cyclam.Reason(k.End.Reason)), true
@@ -281,7 +284,8 @@
 		Status: int(h.Status),
 	}
 	if h.Length > 0 && h.Length <= answerBufferLimit {
-		answer.Body = make([]byte, 0, h.Length)
+		// The upstream may state a length that it does not send.
+		answer.Body = make([]byte, 0, min(h.Length, minAnswerBuffer))
 	}
 	for _, f := range h.Headers {
 		answer.Headers = append(answer.Headers, cyclam.Header{
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -39,6 +39,8 @@
 	tried []string
 	// lastFailure is the most recent 5xx answer from an upstream.
 	lastFailure *result
+	// held counts the memory of the answers that are received for the call.
+	held heldAnswers
 	// chosen is the candidate picked last; viewAge is the age of its load report at
 	// that time.
 	chosen  picker.Candidate
@@ -237,6 +239,7 @@
 			offer:        offer,
 			results:      results,
 			deadline:     c.deadline,
+			held:         &c.held,
 			suspectAfter: c.suspectAfter(),
 		}
 		a.run(ctx)
--- a/proxy/handle.go
+++ b/proxy/handle.go
@@ -72,6 +72,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	defer c.held.release()
 	end := c.run(ctx)
 	if end.completion.Outcome == cyclam.OutcomeDone {
 		n.recordExchange(route, len(body)+len(end.completion.Answer.Body)+headerOverhead)
@@ -125,8 +126,11 @@
 	}
 	idempotent := route.Idempotent(r.Method)
 	return &call{
-		node:         n,
-		route:        route,
+		node:  n,
+		route: route,
+		held: heldAnswers{
+			memory: &n.answers,
+		},
 		idempotent:   idempotent,
 		arrived:      began,
 		goal:         began.Add(goal),
--- a/proxy/job.go
+++ b/proxy/job.go
@@ -22,12 +22,17 @@
 	// cancel ends the run with a cause, which is logged.
 	cancel context.CancelCauseFunc
 
+	// memory counts the bytes in log; nil counts nothing.
+	memory *answerMemory
+
 	mu      sync.Mutex
 	log     []*wire.Reply
 	dropped int
-	// buffered is the number of body bytes in log; dropped is the number of replies
-	// removed from its front.
+	// buffered is the memory of the body in log, in bytes; dropped is the number of
+	// replies removed from its front.
 	buffered int
+	// throttled is set while more of the answer waits for room in log.
+	throttled bool
 	// wake is closed and replaced when the log or the read position changes.
 	wake chan struct{}
 	// committed is the bytes of the answer that are committed on the link's pacer and
@@ -53,8 +58,8 @@
 	passed int
 }
 
-// answerBufferLimit is the most bytes of an answer that are buffered for reading again.
-// A longer answer is streamed at the reader's pace.
+// answerBufferLimit is the most bytes of an answer that are buffered for reading again,
+// if the node has room for them. A longer answer is streamed at the reader's pace.
 const answerBufferLimit = 1 << 20
 
 // Causes for which a run is cancelled.
@@ -94,7 +99,7 @@
 		return
 	}
 	j.log = append(j.log, reply)
-	j.buffered += len(reply.GetChunk())
+	j.buffer(replyBytes(reply))
 	j.ended = last
 	if last {
 		j.endedAt = time.Now()
@@ -103,28 +108,53 @@
 	j.signal()
 }
 
+// replyBytes returns the memory that a reply counts for, in bytes.
+func replyBytes(reply *wire.Reply) int {
+	if chunk := reply.GetChunk(); chunk != nil {
+		return len(chunk) + replyOverhead
+	}
+	return 0
+}
+
+// buffer counts bytes that were added to the log, or removed if negative. The caller holds
+// mu.
+func (j *job) buffer(bytes int) {
+	j.buffered += bytes
+	j.memory.add(bytes)
+}
+
+// release counts the log as removed, because the node no longer holds the job.
+func (j *job) release() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.buffer(-j.buffered)
+}
+
 // signal wakes all waiting goroutines. The caller holds mu.
 func (j *job) signal() {
 	close(j.wake)
 	j.wake = make(chan struct{})
 }
 
-// throttle drops replies that all readers have passed on and blocks while more than
-// answerBufferLimit bytes are left. Without a reader nothing is dropped, so that the job
-// can be resumed.
+// throttle drops replies that all readers have passed on and blocks while more bytes are
+// left than an answer may hold. Without a reader nothing is dropped, so that the job can
+// be resumed.
 func (j *job) throttle() error {
 	for {
+		limit := j.memory.perAnswer()
 		j.mu.Lock()
-		if j.buffered <= answerBufferLimit {
+		if j.buffered <= limit {
+			j.throttled = false
 			j.mu.Unlock()
 			return nil
 		}
-		for passed := j.passed(); j.buffered > answerBufferLimit && j.dropped < passed; {
-			j.buffered -= len(j.log[0].GetChunk())
+		for passed := j.passed(); j.buffered > limit && j.dropped < passed; {
+			j.buffer(-replyBytes(j.log[0]))
 			j.log = j.log[1:]
 			j.dropped++
 		}
-		wake, full := j.wake, j.buffered > answerBufferLimit
+		wake, full := j.wake, j.buffered > limit
+		j.throttled = full
 		j.mu.Unlock()
 		if !full {
 			return nil
@@ -160,7 +190,7 @@
 		j.mu.Lock()
 		if r.passed < r.next {
 			r.passed = r.next
-			if j.buffered > answerBufferLimit {
+			if j.throttled {
 				j.signal()
 			}
 		}
--- a/proxy/node.go
+++ b/proxy/node.go
@@ -83,6 +83,8 @@
 	hearsay map[string]notice
 
 	pacer linkPacer
+	// answers counts the memory of the answers that the node holds.
+	answers answerMemory
 
 	linkMu sync.Mutex
 	links  map[string]*link
--- a/proxy/retain.go
+++ b/proxy/retain.go
@@ -56,6 +56,7 @@
 func (n *Node) discard(r retainedJob) {
 	attempt := r.job.attempt
 	delete(n.jobs, attempt)
+	r.job.release()
 	if r.refused {
 		n.fences.revoked.add(attempt)
 		return
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -85,6 +85,7 @@
 	now := time.Now()
 	n.hear(offer.Notice, now)
 	j := newJob(context.Background(), offer, attempt, now)
+	j.memory = &n.answers
 	goal := now.Add(time.Duration(offer.GoalUs) * time.Microsecond)
 	if bytes := int(n.answerBytes[offer.Route]); bytes >= largeAnswerBytes {
 		ok, after := n.pacer.commit(now, n.scheduler.Load(now).ServiceTime, bytes, goal, j.deadline)
--- a/stand/drill/fleet_test.go
+++ b/stand/drill/fleet_test.go
@@ -66,6 +66,8 @@
 	machines []*machine
 	probers  map[string]*prober
 	started  int
+	// workers is the number of clients on each machine.
+	workers int
 	// clientsCtx ends before the processes do.
 	clientsCtx context.Context
 	clients    sync.WaitGroup
@@ -76,6 +78,12 @@
 
 // startFleet starts a fleet and waits until all nodes are ready and have their entries.
 func startFleet(t *testing.T, seed uint64) *fleet {
+	t.Helper()
+	return startFleetOf(t, seed, workersPerMachine)
+}
+
+// startFleetOf starts a fleet with a number of clients on each machine.
+func startFleetOf(t *testing.T, seed uint64, workers int) *fleet {
 	t.Helper()
 	f := &fleet{
 		t:       t,
@@ -83,6 +91,7 @@
 		dir:     logDir(t, seed),
 		store:   mstore.NewServer(),
 		stats:   newStats(),
+		workers: workers,
 		probers: map[string]*prober{},
 	}
 	f.operator = &operator{
@@ -128,7 +137,7 @@
 	f.started++
 	f.machines = append(f.machines, m)
 	m.startNode(f.t)
-	for i := range workersPerMachine {
+	for i := range f.workers {
 		c := &client{
 			machine: m,
 			stats:   f.stats,
--- a/stand/drill/machine_test.go
+++ b/stand/drill/machine_test.go
@@ -40,6 +40,8 @@
 	drainTime    = 2 * time.Second
 	graceTime    = 6 * time.Second
 	backendSlots = 8
+	// memoryLimit is the memory that a node may use, in bytes.
+	memoryLimit = 284 << 20
 	// exitLimit is how long after SIGTERM a process may still run.
 	exitLimit = graceTime
 )
@@ -184,7 +186,7 @@
 		"app_addr":            m.address(portApp),
 		"service":             m.service,
 		"limits": map[string]any{
-			"memory_mb": 284,
+			"memory_mb": memoryLimit >> 20,
 			"link_mbps": 1000,
 		},
 		"bounds": []string{
