Play limits through freezes, kills and the store's outage in the drill

TestBackendLimit also checks that the backend gets what its limit allows and is used again once the limit has ended. TestBackendLimitUnderFaults freezes and kills the node beside the backend and another one, and takes the store from the first while it restarts.

A limited upstream's reported wait now expires over two seconds like the rest of its load, because the other nodes use up what the limit has allowed since; it was taken as passed at once.

--- a/picker/picker.go
+++ b/picker/picker.go
@@ -75,10 +75,7 @@
 		limit = max(1, int(c.Endpoint.Slots))
 	}
 	busy := c.InFlight
-	if age := now.Sub(c.LoadAt); age < loadTTL {
-		freshness := float64(loadTTL-age) / float64(loadTTL)
-		busy += int(freshness * float64(c.Load.Running+c.Load.Waiting))
-	}
+	busy += int(c.freshness(now) * float64(c.Load.Running+c.Load.Waiting))
 	expected := c.RoundTrip(now) + serviceTime
 	wait := c.rateWait(now)
 	if excess := busy + 1 - limit; excess > 0 {
@@ -100,18 +97,25 @@
 	return expected
 }
 
+// freshness returns the weight of the load report, from 1 to 0.
+func (c Candidate) freshness(now time.Time) float64 {
+	age := now.Sub(c.LoadAt)
+	return max(0, float64(loadTTL-age)/float64(loadTTL))
+}
+
 // maxRateWait bounds the wait for a rate limit, so that a leaving or unreachable upstream
 // is not preferred to one with a low limit.
 const maxRateWait = leavingPenalty / 2
 
-// rateWait returns the expected wait for the upstream's rate limit: what was reported, less
-// the time since, and the time that the attempts sent since take.
+// rateWait returns the expected wait for the upstream's rate limit: what was reported, and
+// the time that the attempts sent since take. The report expires like the rest of the load:
+// other nodes use up what the limit has allowed since.
 func (c Candidate) rateWait(now time.Time) time.Duration {
 	perSecond, limited := c.Load.RateLimit.PerSecond()
 	if !limited {
 		return 0
 	}
-	reported := max(0, c.Load.StartDelay-now.Sub(c.LoadAt))
+	reported := time.Duration(c.freshness(now) * float64(c.Load.StartDelay))
 	// The quotient is infinite, or not a number, for a limit of zero.
 	sent := float64(c.InFlight) / perSecond
 	if !(sent < maxRateWait.Seconds()) || reported > maxRateWait {
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -68,7 +68,7 @@
 	exhausted := candidate("exhausted", here, 0, 0)
 	exhausted.Load.RateLimit, exhausted.Load.StartDelay = cyclam.RateLimitOf(5), 300*time.Millisecond
 	refilled := exhausted
-	refilled.Endpoint.Instance, refilled.LoadAt = "refilled", now.Add(-time.Second)
+	refilled.Endpoint.Instance, refilled.LoadAt = "refilled", now.Add(-loadTTL)
 	used := candidate("used", here, 0, 0)
 	used.Load.RateLimit, used.InFlight = cyclam.RateLimitOf(5), 2
 	closed := candidate("closed", here, 0, 0)
--- a/proxy/memory_test.go
+++ b/proxy/memory_test.go
@@ -59,7 +59,9 @@
 			job: j,
 		}
 		go func() {
-			for sink.Chunk(make([]byte, 32<<10)) == nil {
+			var err error
+			for err == nil {
+				err = sink.Chunk(make([]byte, 32<<10))
 			}
 		}()
 	}
--- a/stand/drill/limit_test.go
+++ b/stand/drill/limit_test.go
@@ -5,6 +5,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/cyclamensaddle/cyclam/stand/mstore"
 )
 
 // The bound on what a backend with a rate limit may get in any limitSpan, from
@@ -49,8 +51,30 @@
 	return most
 }
 
+// since returns how many requests arrived from a time on.
+func (a *arrivals) since(from time.Time) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	count := 0
+	for _, at := range a.times {
+		if !at.Before(from) {
+			count++
+		}
+	}
+	return count
+}
+
+// checkLimit checks the bound from a time on.
+func (f *fleet) checkLimit(got *arrivals, from time.Time, perSecond float64) {
+	f.t.Helper()
+	if got, most := got.most(from), limitBound(perSecond); got > most {
+		f.t.Errorf("%s: requests in %v: got %d, want at most %d for a limit of %v a second", f.stats.scenarioName(), limitSpan, got, most, perSecond)
+	}
+}
+
 // A backend that names a rate limit must get no more requests than that allows from all
-// machines together, and the requests must be served by the others.
+// machines together, and not much less, while the others serve the rest; once the limit
+// has ended, it must be used as before.
 func TestBackendLimit(t *testing.T) {
 	const limit = 3.5
 	f := startFleet(t, *seedFlag)
@@ -62,8 +86,48 @@
 	m.backend.NameLimit(strconv.FormatFloat(limit, 'f', -1, 64))
 	named := time.Now()
 	wait(f.clientsCtx, limitNotice+2*limitSpan)
-	if got, most := got.most(named.Add(limitNotice)), limitBound(limit); got > most {
-		t.Errorf("requests in %v: got %d, want at most %d for a limit of %v a second", limitSpan, got, most, limit)
+	f.checkLimit(got, named.Add(limitNotice), limit)
+	if got, least := got.since(named.Add(limitNotice)), int(limit*limitSpan.Seconds()); got < least {
+		t.Errorf("requests in %v: got %d, want at least %d for a limit of %v a second", 2*limitSpan, got, least, limit)
+	}
+	m.backend.NameLimit("")
+	ended := time.Now()
+	wait(f.clientsCtx, limitSpan)
+	if got, least := got.since(ended), 2*limitBound(limit); got < least {
+		t.Errorf("requests in %v after the end of the limit: got %d, want at least %d", limitSpan, got, least)
 	}
 	f.report()
 }
+
+// The limit must hold for all machines together through the freeze, the kill and the store's
+// outage of the node beside the backend, and of other nodes.
+func TestBackendLimitUnderFaults(t *testing.T) {
+	const limit = 3.5
+	f := startFleet(t, *seedFlag)
+	f.stats.enter("limit under faults")
+	m, other := f.machines[0], f.machines[1]
+	got := &arrivals{}
+	m.watch(got.add)
+	wait(f.clientsCtx, time.Second)
+	m.backend.NameLimit(strconv.FormatFloat(limit, 'f', -1, 64))
+	named := time.Now()
+	wait(f.clientsCtx, limitNotice)
+	for _, frozen := range []*machine{m, other, m} {
+		frozen.freeze(t, f.between(500*time.Millisecond, 2500*time.Millisecond))
+		wait(f.clientsCtx, f.between(200*time.Millisecond, 2*time.Second))
+	}
+	f.store.SetClientFault(m.name, outages[f.rand.IntN(len(outages))])
+	for _, killed := range []*machine{m, other, m} {
+		killed.killNode(t)
+		killed.startNode(t)
+		wait(f.clientsCtx, f.between(time.Second, 3*time.Second))
+	}
+	f.store.SetClientFault(m.name, mstore.Fault{})
+	wait(f.clientsCtx, limitSpan)
+	f.checkLimit(got, named.Add(limitNotice), limit)
+	f.stats.mu.Lock()
+	defer f.stats.mu.Unlock()
+	if got := f.stats.twice; got > 0 {
+		t.Errorf("run twice: got %d, want 0", got)
+	}
+}
--- a/stand/drill/machine_test.go
+++ b/stand/drill/machine_test.go
@@ -278,6 +278,31 @@
 	}
 }
 
+// killNode kills the node process.
+func (m *machine) killNode(t *testing.T) {
+	m.mu.Lock()
+	p := m.process
+	m.mu.Unlock()
+	if err := p.cmd.Process.Kill(); err != nil {
+		t.Errorf("%s: kill: %v", m.name, err)
+	}
+	<-p.exited
+}
+
+// freeze stops the node process for a time.
+func (m *machine) freeze(t *testing.T, d time.Duration) {
+	m.mu.Lock()
+	p := m.process
+	m.mu.Unlock()
+	if err := p.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+		t.Errorf("%s: freeze: %v", m.name, err)
+	}
+	<-time.After(d)
+	if err := p.cmd.Process.Signal(syscall.SIGCONT); err != nil {
+		t.Errorf("%s: wake: %v", m.name, err)
+	}
+}
+
 // replaceBackend lets another process of the backend take over the machine, which makes the node
 // write its entry.
 func (m *machine) replaceBackend(ctx context.Context) {
