Pass on bytes that are not UTF-8

Callers saw 504 for a request whose path, query or id held such bytes, and 503 or 504 for an answer with such a header field, whenever the upstream was beside another node.

Cause: header fields, paths and ids were strings of the protocol between nodes, which refuses to encode strings that are not UTF-8. The stream failed, was taken for a broken connection, and the attempt was resumed until its deadline.

They are bytes now, which is the same on the wire.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -129,7 +129,7 @@
 
 func (a *attempt) logFields() []any {
 	return []any{
-		"id", a.offer.Id,
+		"id", string(a.offer.Id),
 		"peer", a.target.Endpoint.Instance,
 		"service", a.offer.Service,
 		"accepted", a.accepted,
@@ -290,7 +290,7 @@
 	for _, f := range h.Headers {
 		answer.Headers = append(answer.Headers, cyclam.Header{
 			Name:  f.Name,
-			Value: f.Value,
+			Value: string(f.Value),
 		})
 	}
 	return answer
--- a/proxy/handle.go
+++ b/proxy/handle.go
@@ -63,7 +63,7 @@
 	}
 	c.version = t.Config.Version
 	c.service = n.serviceFor(route)
-	c.offer.Target = target
+	c.offer.Target = []byte(target)
 	c.offer.Route = route.Name
 	c.offer.Nested = n.isRunning(meta.Parent)
 	c.offer.Body = body
@@ -138,7 +138,7 @@
 		refusals:     map[cyclam.Identity]int{},
 		maybeStarted: map[cyclam.Identity]bool{},
 		offer: &wire.Offer{
-			Id:            meta.ID,
+			Id:            []byte(meta.ID),
 			Method:        r.Method,
 			Host:          r.Host,
 			Headers:       forwardedFields(r.Header),
@@ -213,7 +213,7 @@
 		for _, value := range values {
 			fields = append(fields, &wire.Field{
 				Name:  name,
-				Value: value,
+				Value: []byte(value),
 			})
 		}
 	}
--- a/proxy/hearsay.go
+++ b/proxy/hearsay.go
@@ -58,7 +58,7 @@
 	}
 	perSecond, limited := t.limit.PerSecond()
 	w := &wire.UpstreamNotice{
-		Upstream:  t.upstream,
+		Upstream:  []byte(t.upstream),
 		Limited:   limited,
 		RateLimit: perSecond,
 	}
@@ -74,7 +74,7 @@
 // decodeNotice returns the notice in a message that was sent at a time.
 func decodeNotice(w *wire.UpstreamNotice, at time.Time) notice {
 	t := notice{
-		upstream: w.GetUpstream(),
+		upstream: string(w.GetUpstream()),
 		heardAt:  at,
 	}
 	if w.GetLimited() {
@@ -143,7 +143,7 @@
 // this node, and applies it if it is of the present upstream process. The caller holds
 // schedMu.
 func (n *Node) hear(w *wire.UpstreamNotice, now time.Time) {
-	if w.GetUpstream() == "" {
+	if len(w.GetUpstream()) == 0 {
 		return
 	}
 	t := decodeNotice(w, now)
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -55,7 +55,7 @@
 func (n *Node) admit(offer *wire.Offer) (*job, *wire.Reply) {
 	attempt, err := codec.DecodeAttempt(offer.Attempt)
 	if err != nil {
-		n.Log.Warn("offer-malformed", "id", offer.Id, "error", err)
+		n.Log.Warn("offer-malformed", "id", string(offer.Id), "error", err)
 		return nil, declined(cyclam.ReasonWrongTarget, 0)
 	}
 	n.schedMu.Lock()
@@ -125,17 +125,18 @@
 // run executes a job that the scheduler has started.
 func (n *Node) run(j *job) {
 	began := time.Now()
+	id := string(j.offer.Id)
 	n.schedMu.Lock()
-	n.runningByID[j.offer.Id]++
+	n.runningByID[id]++
 	n.schedMu.Unlock()
-	defer n.endRun(j.offer.Id)
+	defer n.endRun(id)
 	header := http.Header{}
 	for _, f := range j.offer.Headers {
-		header.Add(f.Name, f.Value)
+		header.Add(f.Name, string(f.Value))
 	}
 	target, process := n.upstreamProcess()
 	n.Dialect.WriteAttempt(header, cyclam.AttemptMeta{
-		ID:        j.offer.Id,
+		ID:        id,
 		Remaining: time.Until(j.deadline),
 		Target:    target,
 		Caller:    cyclam.ServiceName(j.offer.CallerService),
@@ -146,10 +147,10 @@
 	}
 	n.meters.upstreamRequests.Inc(1)
 	err := n.origin.Do(j.ctx, origin.Request{
-		ID:         j.offer.Id,
+		ID:         id,
 		Method:     j.offer.Method,
 		Host:       j.offer.Host,
-		Target:     j.offer.Target,
+		Target:     string(j.offer.Target),
 		Header:     header,
 		Body:       j.offer.Body,
 		Idempotent: j.offer.Idempotent,
@@ -263,7 +264,7 @@
 		for _, value := range values {
 			head.Headers = append(head.Headers, &wire.Field{
 				Name:  name,
-				Value: value,
+				Value: []byte(value),
 			})
 		}
 	}
@@ -386,7 +387,7 @@
 
 func (n *Node) jobFields(j *job) []any {
 	return []any{
-		"id", j.offer.Id,
+		"id", string(j.offer.Id),
 		"attempt", j.attempt.String(),
 		"service", j.offer.Service,
 		"age", time.Since(j.arrived),
