Don't reuse a connection after a refusal without the request's id

Callers could be told 503, not run, for a request that the upstream then ran: a second copy of an earlier refusal, late, on a connection that was in use again, was taken for its answer.

Cause: answers are matched to requests by id, and refusals may come without one. Bytes that arrive while a connection is idle are noticed, later ones were not.

A connection that has carried such a refusal is closed, as one that has carried anything else that can't be matched. Refusals with an id cost nothing.

TestLateCopyOfRefusal: one connection and a false refusal before, two now.

--- a/origin/origin.go
+++ b/origin/origin.go
@@ -173,7 +173,9 @@
 		}
 		meta := p.Dialect.ParseAnswer(resp.StatusCode, resp.Header)
 		// Refusals may lack the request's id: the upstream did not run the
-		// request, or another upstream listens at the address.
+		// request, or another upstream listens at the address. A late copy of one
+		// could not be told from the answer to the next request, so the connection
+		// is not reused.
 		anonymous := meta.ID == "" && (meta.NotRun || meta.Misdirected)
 		if req.ID != "" && meta.ID != req.ID && !anonymous {
 			c.allow(maxSkippedBytes)
@@ -191,7 +193,7 @@
 			Header:     resp.Header,
 			Length:     resp.ContentLength,
 			Meta:       meta,
-			closesConn: resp.Close || delimitedByClose(resp),
+			closesConn: resp.Close || delimitedByClose(resp) || anonymous,
 		}, resp.Body, nil
 	}
 	return Head{}, nil, ErrForeign
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -237,3 +237,22 @@
 		}
 	}
 }
+
+// A refusal may lack the request's id. A second copy of it that arrives late must not be
+// taken for the answer to the next request, which would be reported as not run.
+func TestLateCopyOfRefusal(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	s := newScriptedUpstream(t, refusal, refusal+signedAnswer)
+	p := newPool(s.address)
+	if out, err := do(t, p, "first"); err != nil || !out.head.Meta.NotRun {
+		t.Fatalf("first: got %+v, %v, want a refusal", out.head, err)
+	}
+	out, err := do(t, p, "second")
+	if err != nil {
+		t.Fatal(err)
+	}
+	// A new connection starts with the refusal again, which is then the request's own.
+	if got, want := s.conns.Load(), int64(2); got != want {
+		t.Errorf("connections: got %d, want %d, as the answer on the first one may be a late copy: %+v", got, want, out.head)
+	}
+}
