--- a/stand/appsim/appsim.go
+++ b/stand/appsim/appsim.go
@@ -66,6 +66,8 @@
 	born     time.Time
 	sequence uint64
 	draining bool
+	// leaving makes answers say that the backend leaves, whatever it reports.
+	leaving bool
 	// done is set once the backend has said that it ends.
 	done bool
 	// limit is the rate limit that answers name; empty if none.
@@ -104,7 +106,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.id, b.born, b.sequence, b.draining, b.done = id, time.Now(), 0, false, false
-	b.limit = ""
+	b.limit, b.leaving = "", false
 }
 
 // NameLimit makes all later answers name a limit in requests per second; empty names none.
@@ -115,11 +117,12 @@
 	b.limit = limit
 }
 
-// SayLeaving makes all later answers say that the backend leaves, without a report.
+// SayLeaving makes all later answers say that the backend leaves, while its heartbeats go
+// on to report that it is ready.
 func (b *Backend) SayLeaving() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.draining = true
+	b.leaving = true
 }
 
 // ServeHTTP serves a health check or a request.
@@ -129,13 +132,13 @@
 		panic(http.ErrAbortHandler)
 	}
 	b.mu.Lock()
-	id, draining, limit, flood := b.id, b.draining, b.limit, b.flood
+	id, leaving, limit, flood := b.id, b.draining || b.leaving, b.limit, b.flood
 	b.mu.Unlock()
 	header := w.Header()
 	if limit != "" {
 		header.Set(headerLimit, limit)
 	}
-	if draining {
+	if leaving {
 		header.Set(headerLeaving, "1")
 	}
 	attempt := r.Header.Get(HeaderAttempt)
@@ -143,7 +146,7 @@
 	header.Set(headerInstance, id)
 	header.Set(headerLoad, b.load())
 	switch {
-	case r.URL.Path == HealthPath && draining:
+	case r.URL.Path == HealthPath && leaving:
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case r.URL.Path == HealthPath:
--- a/stand/drill/limit_test.go
+++ b/stand/drill/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -27,12 +28,16 @@
 type arrivals struct {
 	mu    sync.Mutex
 	times []time.Time
+	// from holds the machines whose clients sent the requests.
+	from []string
 }
 
-func (a *arrivals) add(string) {
+func (a *arrivals) add(attempt string) {
+	machine, _, _ := strings.Cut(strings.TrimPrefix(attempt, oncePrefix), "-")
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.times = append(a.times, time.Now())
+	a.from = append(a.from, machine)
 }
 
 // most returns the highest number of arrivals in any limitSpan from a time on.
