Make the test of passed-on loads hold its set-up

TestLoadsArePassedOn failed beside load because two of its four requests had to reach one upstream before the load of the first was known.

The check itself is stricter: the two nodes can't reach each other until the load has been heard of. Before, the test passed with the passing on of loads removed, as they exchange their own loads directly; now it fails then.

--- a/proxy/propagation_test.go
+++ b/proxy/propagation_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -235,11 +237,29 @@
 	s := newTestCluster(t)
 	full, idle := newUpstream(t, "full"), newUpstream(t, "idle")
 	full.work = respondAfter(3 * time.Second)
-	backendA, backendB := s.start("door-a", full, nil), s.start("door-b", idle, nil)
-	ingress, other := s.start("front", nil, nil), s.start("other", nil, nil)
+	backendA, backendB := s.node("door-a", full, nil), s.start("door-b", idle, nil)
+	ingress, other := s.start("front", nil, nil), s.node("other", nil, nil)
+	// These two don't reach each other until the other node has heard of the load.
+	var reach atomic.Bool
+	refuse := func(peer *Node) func(context.Context, string) (net.Conn, error) {
+		var dialer net.Dialer
+		return func(ctx context.Context, address string) (net.Conn, error) {
+			if address == peer.Settings.Self.Control && !reach.Load() {
+				return nil, errors.New("refused by the test")
+			}
+			return dialer.DialContext(ctx, "tcp", address)
+		}
+	}
+	backendA.Dial, other.Dial = refuse(other), refuse(backendA)
+	s.run(backendA)
+	s.run(other)
 	s.awaitReady(backendA, backendB, ingress, other)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
+	// Node door-a sends all requests to its own upstream, whatever it knows of its load.
+	backendA.mu.Lock()
+	backendA.fleet.members["door-b"].view.AvoidUntil = time.Now().Add(time.Minute)
+	backendA.mu.Unlock()
 	for range 4 {
 		go func() { _, _, _, _ = s.request(ctx, backendA, http.MethodPost, "/book/x", 3*time.Second) }()
 	}
@@ -253,6 +273,7 @@
 		m := other.fleet.members["door-a"]
 		return m.view.Load.Running >= m.view.Load.Limit && m.view.Load.Limit > 0
 	})
+	reach.Store(true)
 	before := full.runs.Load()
 	for range 6 {
 		s.want(other, http.MethodPost, "/book/x", http.StatusOK)
