Send a request again to a node on the way to which it was lost

Callers saw 503 (cancelled) although the upstream was free: the connections to all nodes of the service had died silently, the attempt was lost on each of them in turn and fenced, and a node at which an attempt was lost counted as one that had refused it, so that none was left to try.

Cause: a fenced attempt says that it has not run, and was taken for a refusal by the node. It says nothing about the node, which is reached over a new connection by then.

A node on the way to which an attempt was lost now comes after the others, and may be tried once more.

--- a/proxy/call.go
+++ b/proxy/call.go
@@ -26,9 +26,11 @@
 	goal       time.Time
 	deadline   time.Time
 
-	// refusals counts the refusals of this call by node process. maybeStarted holds
-	// the nodes whose upstreams may have started to work on it.
+	// refusals counts the refusals of this call by node process, lost the attempts that
+	// were lost on their way or withdrawn, which says nothing about the node.
+	// maybeStarted holds the nodes whose upstreams may have started to work on it.
 	refusals     map[cyclam.Identity]int
+	lost         map[cyclam.Identity]int
 	maybeStarted map[cyclam.Identity]bool
 	sends        int
 	inFlight     int
@@ -62,8 +64,10 @@
 }
 
 const (
-	// maxRefusals is how many refusals a call collects before its caller is refused.
+	// maxRefusals is how many refusals and lost attempts a call collects before its caller
+	// is refused; maxLost is how many attempts may be lost at one node.
 	maxRefusals = 6
+	maxLost     = 2
 	// resultBuffer lets attempts report while the call handles another result.
 	resultBuffer = 16
 )
@@ -145,7 +149,11 @@
 }
 
 func (c *call) recordRefusal(name cyclam.Identity, v cyclam.Completion) {
-	c.refusals[name]++
+	if v.Reason == cyclam.ReasonCancelled {
+		c.lost[name]++
+	} else {
+		c.refusals[name]++
+	}
 	c.reason = v.Reason
 	if v.RetryAfter > 0 && (c.retryAfter == 0 || v.RetryAfter < c.retryAfter) {
 		c.retryAfter = v.RetryAfter
@@ -279,8 +287,10 @@
 // of upstreams that may have worked on it.
 func (c *call) attemptsExhausted() bool {
 	total := 0
-	for _, count := range c.refusals {
-		total += count
+	for _, counts := range []map[cyclam.Identity]int{c.refusals, c.lost} {
+		for _, count := range counts {
+			total += count
+		}
 	}
 	if total >= maxRefusals {
 		return true
--- a/proxy/handle.go
+++ b/proxy/handle.go
@@ -136,6 +136,7 @@
 		goal:         began.Add(goal),
 		deadline:     began.Add(timeout),
 		refusals:     map[cyclam.Identity]int{},
+		lost:         map[cyclam.Identity]int{},
 		maybeStarted: map[cyclam.Identity]bool{},
 		offer: &wire.Offer{
 			Id:            []byte(meta.ID),
@@ -339,6 +340,7 @@
 		"peer", end.target.Endpoint.Instance,
 		"sends", c.sends,
 		"refusals", len(c.refusals),
+		"lost", len(c.lost),
 		"tried", strings.Join(c.tried, ","),
 		"chosen", c.chosen.Endpoint.Instance,
 		"view-age", c.viewAge,
--- a/proxy/pick.go
+++ b/proxy/pick.go
@@ -10,7 +10,8 @@
 )
 
 // pickTarget returns the best node for the next attempt. It skips nodes that refused
-// the call, failed it last or may already be working on it.
+// the call, failed it last or may already be working on it. A node on the way to which an
+// attempt was lost comes after the others.
 func (n *Node) pickTarget(c *call) (picker.Candidate, bool) {
 	now := time.Now()
 	n.mu.Lock()
@@ -20,13 +21,21 @@
 		candidates = append(candidates, own)
 	}
 	open := candidates[:0]
+	var lost []picker.Candidate
 	for _, cand := range candidates {
 		name := cand.Endpoint.Identity
 		failedHere := c.lastFailure != nil && c.lastFailure.target.Endpoint.Identity == name
-		if !c.maybeStarted[name] && !failedHere && c.refusals[name] == 0 {
+		switch {
+		case c.maybeStarted[name], failedHere, c.refusals[name] > 0, c.lost[name] >= maxLost:
+		case c.lost[name] > 0:
+			lost = append(lost, cand)
+		default:
 			open = append(open, cand)
 		}
 	}
+	if len(open) == 0 {
+		open = lost
+	}
 	i, ok := n.pickTuning.Pick(now, picker.Request{
 		From:  n.Settings.Self.Locality,
 		Bytes: n.expectedBytes(c.route),
