--- a/proxy/cluster_test.go
+++ b/proxy/cluster_test.go
@@ -18,10 +18,12 @@
 	"github.com/hashicorp/go-hclog"
 )
 
-// testCluster starts nodes that share one platform.
+// testCluster starts nodes that share one platform. What they log is shown if the test
+// fails.
 type testCluster struct {
 	t        testing.TB
 	platform *memPlatform
+	logged   *lockedBuffer
 }
 
 // testConfig returns a configuration with one route of each kind to the service
@@ -64,8 +66,14 @@
 	s := &testCluster{
 		t:        t,
 		platform: newMemPlatform(),
+		logged:   &lockedBuffer{},
 	}
 	s.platform.apply(t, testConfig(1))
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log("logged by the nodes:\n" + s.logged.String())
+		}
+	})
 	return s
 }
 
@@ -159,7 +167,10 @@
 		},
 		Platform: s.platform,
 		Dialect:  testDialect{},
-		Log:      hclog.NewNullLogger(),
+		Log: hclog.New(&hclog.LoggerOptions{
+			Name:   name,
+			Output: s.logged,
+		}),
 	}
 	if w != nil {
 		n.Dial = w.dial
--- a/proxy/confighistory.go
+++ b/proxy/confighistory.go
@@ -88,6 +88,13 @@
 	return t.last().id
 }
 
+// current returns the text in force; it is zero if there is none.
+func (t *configHistory) current() configText {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.last()
+}
+
 // last returns the configuration in force. The caller holds mu.
 func (t *configHistory) last() configText {
 	if len(t.versions) == 0 {
--- /dev/null
+++ b/proxy/status.go
@@ -0,0 +1,90 @@
+package proxy
+
+import (
+	"fmt"
+	"time"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
+)
+
+// Status is what a node believes and does, for operators. The zero Status is that of a
+// node that has not started.
+type Status struct {
+	Instance    cyclam.InstanceName `json:"instance"`
+	Incarnation cyclam.Incarnation  `json:"incarnation,string"`
+	Ready       bool                `json:"ready"`
+	Stopping    bool                `json:"stopping"`
+	StoreEra    uint64              `json:"store-era"`
+	Config      ConfigStatus        `json:"config"`
+	Upstream    UpstreamStatus      `json:"upstream"`
+	// Nodes counts the other nodes by the state of their endpoint.
+	Nodes map[string]int `json:"nodes"`
+}
+
+// ConfigStatus describes the configuration in force.
+type ConfigStatus struct {
+	Version cyclam.Version `json:"version"`
+	// Digest is that of the text, in hexadecimal, and Era the highest era of the store in
+	// which the text was read.
+	Digest string `json:"digest"`
+	Era    uint64 `json:"era"`
+	// Reissued is set if another text had this version before.
+	Reissued bool `json:"reissued"`
+	// FreshFor is how long ago the version was known to be the store's newest.
+	FreshFor string `json:"fresh-for"`
+}
+
+// UpstreamStatus describes the upstream beside the node.
+type UpstreamStatus struct {
+	ID      string `json:"id"`
+	Known   bool   `json:"known"`
+	Leaving bool   `json:"leaving"`
+	// RateLimit is the limit in requests per second, "none" or "unknown".
+	RateLimit string `json:"rate-limit"`
+	Running   int    `json:"running"`
+	Waiting   int    `json:"waiting"`
+	Slots     int    `json:"slots"`
+}
+
+// Status returns the present status.
+func (n *Node) Status() Status {
+	if !n.prepared.Load() {
+		return Status{}
+	}
+	now := time.Now()
+	s := Status{
+		Instance:    n.self.Instance,
+		Incarnation: n.self.Incarnation,
+		Ready:       n.Ready(),
+		Stopping:    n.stopping.Load(),
+		Nodes:       map[string]int{},
+	}
+	s.StoreEra, _ = n.storeEras.Current()
+	if text := n.configHistory.current(); text.id.version != 0 {
+		s.Config = ConfigStatus{
+			Version:  text.id.version,
+			Digest:   fmt.Sprintf("%016x", text.id.digest),
+			Era:      text.id.era,
+			Reissued: text.reissued,
+			FreshFor: n.storeAge().Round(time.Millisecond).String(),
+		}
+	}
+	n.schedMu.Lock()
+	load := n.scheduler.Load(now)
+	s.Upstream = UpstreamStatus{
+		ID:        n.upstream.id,
+		Known:     n.scheduler.Known(),
+		Leaving:   n.upstream.leaving,
+		RateLimit: load.RateLimit.String(),
+		Running:   load.Running,
+		Waiting:   load.Waiting,
+		Slots:     load.Limit,
+	}
+	n.schedMu.Unlock()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, m := range n.fleet.members {
+		s.Nodes[m.view.Endpoint.State.String()]++
+	}
+	return s
+}
