Don't hand out a test address twice

TestStopDeliversRevocations failed once beside load, in one of 16 processes that each ran 10 tests 12 times: one of its nodes could not listen, address already in use. The system may give the port of a listener that was closed again to the next one, so two calls for a free address could return the same. They are remembered now.

--- a/proxy/cluster_test.go
+++ b/proxy/cluster_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -81,14 +82,30 @@
 // don't take its ports between their choice and their use.
 var loopback = net.IPv4(127, byte(1+os.Getpid()>>16&0x3f), byte(os.Getpid()>>8), byte(1+os.Getpid()&0x7f)).String()
 
+// handedOut holds the addresses that freeAddress has returned. The system may give the port
+// of a closed listener to the next one, before the first has been used.
+var (
+	handedOutMu sync.Mutex
+	handedOut   = map[string]bool{}
+)
+
+// freeAddress returns an address to listen on. No two calls return the same one.
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", net.JoinHostPort(loopback, "0"))
-	if err != nil {
-		t.Fatal(err)
+	handedOutMu.Lock()
+	defer handedOutMu.Unlock()
+	for {
+		l, err := net.Listen("tcp", net.JoinHostPort(loopback, "0"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		address := l.Addr().String()
+		_ = l.Close()
+		if !handedOut[address] {
+			handedOut[address] = true
+			return address
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
 }
 
 // start runs a node until the test ends. Without an upstream, u is nil.
