Name what answers report and notices by the field's terms

No change of behaviour: upstreamSaid becomes answerReport, hearsay the notices of the own upstream, heard received; the files follow.

--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -94,7 +94,7 @@
 	}
 	n.mergeLoads(k.Loads)
 	n.schedMu.Lock()
-	n.hear(k.Notice, time.Now())
+	n.acceptNotice(k.Notice, time.Now())
 	n.schedMu.Unlock()
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/proxy/fleet.go
+++ b/proxy/fleet.go
@@ -144,7 +144,7 @@
 		return
 	}
 	m.view.Load = decodeLoad(l)
-	n.fleet.noteNotice(name, l, time.Now())
+	n.fleet.updateNotice(name, l, time.Now())
 	if inc := cyclam.Incarnation(l.Incarnation); inc != 0 && inc != m.view.Endpoint.Incarnation {
 		n.fleet.store.noteEnded(m.view.Endpoint.Identity, true, time.Now())
 		m.view.Endpoint.Incarnation = inc
--- a/proxy/leaving_test.go
+++ b/proxy/leaving_test.go
@@ -159,19 +159,19 @@
 
 // The time since when another node knows of a leave counts: the own clock may have stood
 // still.
-func TestLeaveHeardLaterIsOlder(t *testing.T) {
+func TestEarliestLeaveCounts(t *testing.T) {
 	s := newTestCluster(t)
 	u := newUpstream(t, "u1")
 	backend := s.start("door", u, nil)
 	s.awaitReady(backend)
 	now := time.Now()
-	heard := notice{
+	notified := notice{
 		upstream:     "u1",
 		leavingSince: now.Add(-backend.Settings.Drain),
 	}
 	backend.schedMu.Lock()
 	backend.markLeaving(now)
-	backend.hear(heard.encode(now), now)
+	backend.acceptNotice(notified.encode(now), now)
 	backend.schedMu.Unlock()
 	s.want(backend, http.MethodPost, "/book/x", http.StatusServiceUnavailable)
 	if got := u.runs.Load(); got != 0 {
@@ -234,16 +234,16 @@
 	now := time.UnixMilli(1_000_000)
 	born := time.UnixMilli(5000)
 	limited := notice{
-		upstream:  "u1",
-		startedAt: born,
-		limit:     cyclam.RateLimitOf(6.4),
-		heardAt:   now,
+		upstream:   "u1",
+		startedAt:  born,
+		limit:      cyclam.RateLimitOf(6.4),
+		receivedAt: now,
 	}
 	leaving := notice{
 		upstream:     "u1",
 		startedAt:    born,
 		leavingSince: now.Add(-time.Second),
-		heardAt:      now,
+		receivedAt:   now,
 	}
 	both := leaving
 	both.limit = limited.limit
--- a/proxy/load.go
+++ b/proxy/load.go
@@ -124,7 +124,7 @@
 		if at.After(m.view.LoadAt) {
 			m.view.Load = decodeLoad(r.GetLoad())
 			m.view.LoadAt = at
-			n.fleet.noteNotice(cyclam.InstanceName(r.GetInstance()), r.GetLoad(), at)
+			n.fleet.updateNotice(cyclam.InstanceName(r.GetInstance()), r.GetLoad(), at)
 		}
 	}
 }
--- a/proxy/node.go
+++ b/proxy/node.go
@@ -79,8 +79,8 @@
 	// answerBytes holds the mean bytes of the local upstream's answers, by route.
 	answerBytes map[string]float64
 	upstream    upstreamState
-	// hearsay holds what other nodes have heard of the local upstream, by its id.
-	hearsay map[string]notice
+	// ownNotices holds what other nodes were told of the local upstream, by its id.
+	ownNotices map[string]notice
 
 	pacer linkPacer
 	// answers counts the memory of the answers that the node holds.
@@ -148,7 +148,7 @@
 	n.jobs = map[cyclam.AttemptID]*job{}
 	n.runningByID = map[string]int{}
 	n.answerBytes = map[string]float64{}
-	n.hearsay = map[string]notice{}
+	n.ownNotices = map[string]notice{}
 	n.links = map[string]*link{}
 	n.pacer.state = pace.State{
 		Rate: paceShare * n.Settings.LinkRate,
--- a/proxy/notice.go
+++ b/proxy/notice.go
@@ -1,134 +1,184 @@
 package proxy
 
 import (
-	"context"
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
-	"github.com/cyclamensaddle/cyclam/sched"
+	"github.com/cyclamensaddle/cyclam/wire"
 )
 
-// upstreamSaid is what an upstream process has said of itself in its answers.
-type upstreamSaid struct {
-	rateLimit cyclam.RateLimit
-	// limitSince is when rateLimit last changed, answeredAt when the process last
-	// answered.
-	limitSince time.Time
-	answeredAt time.Time
-	// loggedLimit is the last limit that was logged.
-	loggedLimit cyclam.RateLimit
+// notice is what an upstream process has reported of itself, as the node beside it has
+// passed it on. The other nodes return it with their attempts, so that it survives a
+// restart of that node.
+type notice struct {
+	upstream  string
+	startedAt time.Time
+	limit     cyclam.RateLimit
+	// leavingSince is when the leave was first known; zero if the process does not leave.
+	leavingSince time.Time
+	// receivedAt is when the notice was last received.
+	receivedAt time.Time
 }
 
-// beginProcess resets what belongs to one upstream process.
-func (u *upstreamState) beginProcess() {
-	u.process++
-	u.leaving, u.leavingSince = false, time.Time{}
-	u.said = upstreamSaid{
-		loggedLimit: u.said.loggedLimit,
+// noticeTTL is how long a notice is kept that is not received again: longer than a leaving
+// upstream serves, or a node takes to restart.
+const noticeTTL = 2 * time.Minute
+
+// empty reports whether the notice says nothing that binds anybody.
+func (t notice) empty() bool {
+	_, limited := t.limit.PerSecond()
+	return !limited && t.leavingSince.IsZero()
+}
+
+// concerns reports whether the notice is of an upstream process. Processes without a known
+// start time are told apart by their id alone.
+func (t notice) concerns(id string, startedAt time.Time) bool {
+	return t.upstream != "" && t.upstream == id &&
+		(t.startedAt.IsZero() || startedAt.IsZero() || t.startedAt.Equal(startedAt))
+}
+
+// with returns the notice after another one of the same process, which is later.
+func (t notice) with(later notice) notice {
+	if !later.concerns(t.upstream, t.startedAt) {
+		return later
+	}
+	if !t.leavingSince.IsZero() && (later.leavingSince.IsZero() || t.leavingSince.Before(later.leavingSince)) {
+		later.leavingSince = t.leavingSince
 	}
+	if !later.limit.Known() {
+		later.limit = t.limit
+	}
+	return later
 }
 
-// upstreamProcess returns the id of the upstream process and its number on this node.
-func (n *Node) upstreamProcess() (string, uint64) {
-	n.schedMu.Lock()
-	defer n.schedMu.Unlock()
-	return n.upstream.id, n.upstream.process
+// encode returns the message for other nodes; nil for an empty notice.
+func (t notice) encode(now time.Time) *wire.UpstreamNotice {
+	if t.empty() {
+		return nil
+	}
+	perSecond, limited := t.limit.PerSecond()
+	w := &wire.UpstreamNotice{
+		Upstream:  []byte(t.upstream),
+		Limited:   limited,
+		RateLimit: perSecond,
+	}
+	if !t.startedAt.IsZero() {
+		w.StartedMs = t.startedAt.UnixMilli()
+	}
+	if !t.leavingSince.IsZero() {
+		w.Leaving, w.LeavingUs = true, now.Sub(t.leavingSince).Microseconds()
+	}
+	return w
 }
 
-// observeAnswer applies what an answer to a request says of the upstream process to which
-// the request was sent. An answer with 421 comes from another one.
-func (n *Node) observeAnswer(process uint64, meta cyclam.AnswerMeta) {
-	if meta.Misdirected {
+// decodeNotice returns the notice in a message that was sent at a time.
+func decodeNotice(w *wire.UpstreamNotice, at time.Time) notice {
+	t := notice{
+		upstream:   string(w.GetUpstream()),
+		receivedAt: at,
+	}
+	if w.GetLimited() {
+		t.limit = cyclam.RateLimitOf(w.RateLimit)
+	}
+	if w.GetStartedMs() != 0 {
+		t.startedAt = time.UnixMilli(w.StartedMs)
+	}
+	if w.GetLeaving() {
+		t.leavingSince = at.Add(-max(0, time.Duration(w.LeavingUs)*time.Microsecond))
+	}
+	return t
+}
+
+// updateNotice applies the notice in a node's load, which was reported at a time. A load
+// without a notice ends a limit if the node knows that there is none; it does not end a
+// leave.
+func (f *fleet) updateNotice(name cyclam.InstanceName, l *wire.Load, at time.Time) {
+	known, ok := f.notices[name]
+	if l.GetNotice() == nil && !ok {
 		return
 	}
-	n.schedMu.Lock()
-	defer n.schedMu.Unlock()
-	if n.upstream.process != process {
+	next := known
+	if l.GetNotice() != nil {
+		next = known.with(decodeNotice(l.Notice, at))
+	}
+	if l.GetLimitKnown() && !l.GetNotice().GetLimited() {
+		next.limit = cyclam.RateLimit{}
+	}
+	if next.empty() {
+		delete(f.notices, name)
 		return
 	}
-	now := time.Now()
-	n.upstream.said.answeredAt = now
-	n.setRateLimit(now, meta.RateLimit)
-	n.observeLeaving(now, meta)
+	f.notices[name] = next
 }
 
-// observeHealth applies what the answer to a health check says of the known upstream
-// process. It may not name a limit that requests are subject to, so that without one a
-// request has to tell. The caller holds schedMu.
-func (n *Node) observeHealth(now time.Time, meta cyclam.AnswerMeta) {
-	n.upstream.said.answeredAt = now
-	if _, limited := meta.RateLimit.PerSecond(); limited {
-		n.setRateLimit(now, meta.RateLimit)
-	} else {
-		n.decideLocked(func(s sched.State) (sched.State, []sched.Decision) { return s.WithTrial(now).Tick(now) })
-	}
-	n.observeLeaving(now, meta)
+// noticeFor returns the notice that is known of a node's upstream; nil if there is none.
+func (f *fleet) noticeFor(name cyclam.InstanceName, now time.Time) *wire.UpstreamNotice {
+	return f.notices[name].encode(now)
 }
 
-// setRateLimit applies a limit that the upstream has named. The caller holds schedMu.
-func (n *Node) setRateLimit(now time.Time, limit cyclam.RateLimit) {
-	said := &n.upstream.said
-	if !limit.Known() || limit == said.rateLimit {
-		return
+// expireNotices drops the notices that have not been received for noticeTTL.
+func (f *fleet) expireNotices(now time.Time) {
+	for name, t := range f.notices {
+		if now.Sub(t.receivedAt) > noticeTTL {
+			delete(f.notices, name)
+		}
 	}
-	said.rateLimit, said.limitSince = limit, now
-	n.decideLocked(func(s sched.State) (sched.State, []sched.Decision) {
-		return s.WithRateLimit(now, limit).Tick(now)
-	})
 }
 
-// observeLeaving records that the upstream says that it leaves. The caller holds schedMu.
-func (n *Node) observeLeaving(now time.Time, meta cyclam.AnswerMeta) {
-	if !meta.Leaving || n.upstream.leaving {
-		return
+// ownNotice returns what is known of the local upstream process. The caller holds schedMu.
+func (n *Node) ownNotice() notice {
+	return notice{
+		upstream:     n.upstream.id,
+		startedAt:    n.upstream.startedAt,
+		limit:        n.upstream.reported.rateLimit,
+		leavingSince: n.upstream.leavingSince,
 	}
-	n.Log.Info("upstream-says-leaving", "upstream", n.upstream.id)
-	n.markLeaving(now)
-	n.requestEntryWrite()
 }
 
-// limitRecheck is the time without an answer after which an upstream with a rate limit is
-// asked by a health check whether the limit still holds: a low limit leaves few answers
-// that could tell.
-const limitRecheck = 2 * time.Second
-
-// recheckRateLimit starts a health check if work is refused or waits because of a limit
-// that no answer has confirmed for limitRecheck.
-func (n *Node) recheckRateLimit(ctx context.Context, now time.Time) {
-	n.schedMu.Lock()
-	_, limited := n.upstream.said.rateLimit.PerSecond()
-	due := limited && now.Sub(n.upstream.said.answeredAt) >= limitRecheck && n.scheduler.HeldBack(now, limitRecheck)
-	n.schedMu.Unlock()
-	if due {
-		go n.probe(ctx)
+// maxNotices bounds the notices that are kept of upstream processes other than the present
+// one.
+const maxNotices = 16
+
+// acceptNotice keeps what another node was told of the local upstream by an earlier process
+// of this node, and applies it if it is of the present upstream process. The caller holds
+// schedMu.
+func (n *Node) acceptNotice(w *wire.UpstreamNotice, now time.Time) {
+	if len(w.GetUpstream()) == 0 {
+		return
+	}
+	t := decodeNotice(w, now)
+	for id, known := range n.ownNotices {
+		if now.Sub(known.receivedAt) > noticeTTL {
+			delete(n.ownNotices, id)
+		}
 	}
+	if known, ok := n.ownNotices[t.upstream]; ok {
+		t = known.with(t)
+	} else if len(n.ownNotices) >= maxNotices {
+		return
+	}
+	n.ownNotices[t.upstream] = t
+	n.applyNotices(now)
 }
 
-// logRateLimit logs a change of the limit that the upstream names. It is called once a
-// second, because a limit may change with every answer.
-func (n *Node) logRateLimit(now time.Time) {
-	n.schedMu.Lock()
-	defer n.schedMu.Unlock()
-	said := &n.upstream.said
-	limit, limited := said.rateLimit.PerSecond()
-	_, wasLimited := said.loggedLimit.PerSecond()
-	if said.rateLimit == said.loggedLimit || !limited && !wasLimited {
+// applyNotices applies what other nodes were told of the present upstream process: that
+// it leaves, and its limit unless the process has answered this node. The caller holds
+// schedMu.
+func (n *Node) applyNotices(now time.Time) {
+	t, ok := n.ownNotices[n.upstream.id]
+	if !ok || !t.concerns(n.upstream.id, n.upstream.startedAt) {
 		return
 	}
-	if limited {
-		n.meters.rateLimit.Update(limit)
-	} else {
-		n.meters.rateLimit.Update(noRateLimitGauge)
-	}
-	n.Log.Info("upstream-rate-limit",
-		"upstream", n.upstream.id,
-		"limit", said.rateLimit,
-		"before", said.loggedLimit,
-		"age", now.Sub(said.limitSince),
-		"requests-sent", n.meters.upstreamRequests.Count(),
-	)
-	said.loggedLimit = said.rateLimit
+	if !n.upstream.reported.rateLimit.Known() && t.limit.Known() {
+		n.Log.Info("upstream-notice-received", "upstream", t.upstream, "limit", t.limit)
+		n.setRateLimit(now, t.limit)
+	}
+	if t.leavingSince.IsZero() || n.upstream.leaving && !t.leavingSince.Before(n.upstream.leavingSince) {
+		return
+	}
+	if !n.upstream.leaving {
+		n.Log.Info("upstream-notice-received", "upstream", t.upstream, "leaving-for", now.Sub(t.leavingSince))
+		n.requestEntryWrite()
+	}
+	n.markLeaving(t.leavingSince)
 }
-
-// noRateLimitGauge is the value of the gauge of the rate limit while there is none.
-const noRateLimitGauge = -1
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -83,7 +83,7 @@
 		return nil, declined(cyclam.ReasonWrongTarget, 0)
 	}
 	now := time.Now()
-	n.hear(offer.Notice, now)
+	n.acceptNotice(offer.Notice, now)
 	j := newJob(context.Background(), offer, attempt, now)
 	j.memory = &n.answers
 	goal := now.Add(time.Duration(offer.GoalUs) * time.Microsecond)
--- a/proxy/upstream.go
+++ b/proxy/upstream.go
@@ -21,7 +21,7 @@
 	// withdrawnID and withdrawnStart identify the process that was withdrawn last.
 	withdrawnID    string
 	withdrawnStart time.Time
-	// leaving is set once the process has said in any way that it is about to stop;
+	// leaving is set once the process has reported in any way that it is about to stop;
 	// leavingSince is when this was first known to the nodes.
 	leaving      bool
 	leavingSince time.Time
@@ -29,8 +29,8 @@
 	process uint64
 	// lastID is the id of the last process that was known.
 	lastID string
-	// said is what the process has said of itself in its answers.
-	said upstreamSaid
+	// reported is what the process has reported of itself in its answers.
+	reported answerReport
 }
 
 // ErrForeignUpstream rejects a status of an upstream that does not run beside this
@@ -71,7 +71,7 @@
 	if status.Leaving || withdrawn {
 		n.markLeaving(now)
 	}
-	n.applyHearsay(now)
+	n.applyNotices(now)
 	leaving := n.upstream.leaving
 	n.schedMu.Unlock()
 	if newProcess || leaving != known.leaving {
@@ -222,7 +222,7 @@
 		n.scheduler = n.scheduler.WithUpstream(0)
 	}
 	n.upstream.id, n.upstream.lastID = id, id
-	n.applyHearsay(time.Now())
+	n.applyNotices(time.Now())
 	n.requestEntryWrite()
 }
 
