Encode a load together with the notice that carries its limit

TestLoadCarriesRateLimit has failed since the notices: the limit moved from the load's own encoding into the notice, which two callers added by themselves and the test did not. The notice is an argument now, so that it can't be left out; what is sent is the same.

--- a/proxy/load.go
+++ b/proxy/load.go
@@ -13,7 +13,9 @@
 // failingUnit converts the share of failed answers to the wire's thousandths.
 const failingUnit = 1000
 
-func encodeLoad(l cyclam.Load, incarnation cyclam.Incarnation) *wire.Load {
+// encodeLoad returns the message for a load and the notice of the same upstream, which
+// carries the rate limit.
+func encodeLoad(l cyclam.Load, incarnation cyclam.Incarnation, notice *wire.UpstreamNotice) *wire.Load {
 	return &wire.Load{
 		Running:       uint32(l.Running),
 		Waiting:       uint32(l.Waiting),
@@ -25,6 +27,7 @@
 		Incarnation:   uint64(incarnation),
 		SendingUs:     uint32(l.SendBacklog.Microseconds()),
 		LinkKbps:      uint32(l.LinkRate / linkRateUnit),
+		Notice:        notice,
 		LimitKnown:    l.RateLimit.Known(),
 		StartDelayUs:  uint32(l.StartDelay.Microseconds()),
 	}
@@ -95,11 +98,9 @@
 		if age > gossipMaxAge || !notable(m.view.Load) {
 			continue
 		}
-		load := encodeLoad(m.view.Load, m.view.Endpoint.Incarnation)
-		load.Notice = n.fleet.noticeFor(name, now)
 		reports = append(reports, &wire.NodeLoad{
 			Instance: string(name),
-			Load:     load,
+			Load:     encodeLoad(m.view.Load, m.view.Endpoint.Incarnation, n.fleet.noticeFor(name, now)),
 			AgeUs:    age.Microseconds(),
 		})
 		if len(reports) == gossipMaxLoads {
--- a/proxy/load_test.go
+++ b/proxy/load_test.go
@@ -15,7 +15,11 @@
 			RateLimit:  limit,
 			StartDelay: 90 * time.Millisecond,
 		}
-		if got := decodeLoad(encodeLoad(want, 1)); got != want {
+		told := notice{
+			upstream: "u1",
+			limit:    limit,
+		}
+		if got := decodeLoad(encodeLoad(want, 1, told.encode(time.Now()))); got != want {
 			t.Errorf("got %+v, want %+v", got, want)
 		}
 	}
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -405,7 +405,5 @@
 	l.Leaving = l.Leaving || n.closedToPeers(now)
 	l.Version = n.version()
 	l.SendBacklog, l.LinkRate = n.pacer.backlog(now), n.Settings.LinkRate
-	encoded := encodeLoad(l, n.self.Incarnation)
-	encoded.Notice = notice.encode(now)
-	return encoded
+	return encodeLoad(l, n.self.Incarnation, notice.encode(now))
 }
