Let clusters that tests build themselves keep their nodes' logs

Two tests make a cluster without newTestCluster and had no buffer for the log: the package's tests ended with a nil pointer since the logs are kept. The buffer is part of the cluster now.

--- a/proxy/cluster_test.go
+++ b/proxy/cluster_test.go
@@ -24,7 +24,7 @@
 type testCluster struct {
 	t        testing.TB
 	platform *memPlatform
-	logged   *lockedBuffer
+	logged   lockedBuffer
 }
 
 // testConfig returns a configuration with one route of each kind to the service
@@ -67,7 +67,6 @@
 	s := &testCluster{
 		t:        t,
 		platform: newMemPlatform(),
-		logged:   &lockedBuffer{},
 	}
 	s.platform.apply(t, testConfig(1))
 	t.Cleanup(func() {
@@ -186,7 +185,7 @@
 		Dialect:  testDialect{},
 		Log: hclog.New(&hclog.LoggerOptions{
 			Name:   name,
-			Output: s.logged,
+			Output: &s.logged,
 		}),
 	}
 	if w != nil {
