--- a/proxy/memory_test.go
+++ b/proxy/memory_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"runtime"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -162,3 +166,48 @@
 	s.waitFor("the runs' answers are released", func() bool { return backend.answers.held.Load() == 0 })
 	s.want(other, http.MethodPost, "/book/x", http.StatusOK)
 }
+
+// The answer to a health check may not end either.
+func TestEndlessHealthCheckIsGivenUp(t *testing.T) {
+	for name, first := range map[string]string{
+		"head": "HTTP/1.1 200 OK\r\nX-Long: ",
+		"body": "HTTP/1.1 200 OK\r\nX-Instance: u1\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			var written atomic.Int64
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				piece := strings.Repeat("x", 16<<10)
+				for _, err = io.WriteString(c, first); err == nil; {
+					var n int
+					n, err = io.WriteString(c, piece)
+					written.Add(int64(n))
+				}
+			}()
+			n := newTestCluster(t).node("door", nil, nil)
+			n.Settings.Upstream = l.Addr().String()
+			n.prepare()
+			began := time.Now()
+			_, err = n.checkHealth(t.Context(), "/health")
+			if err == nil && name == "head" {
+				t.Error("got a health check's answer, want an error")
+			}
+			if got, most := time.Since(began), 2*probeTimeout; got > most {
+				t.Errorf("ended after %v, want at most %v", got, most)
+			}
+			// What the sockets' buffers of both ends may hold beside what is read.
+			if got, most := written.Load(), int64(2*healthAnswerLimit+16<<20); got > most {
+				t.Errorf("written: got %d bytes, want at most %d", got, most)
+			}
+		})
+	}
+}
--- a/proxy/ratelimit_test.go
+++ b/proxy/ratelimit_test.go
@@ -233,3 +233,34 @@
 		t.Errorf("answers at the other node by status: got %v, want some served", counts)
 	}
 }
+
+// Cuts between the nodes must not loosen the limit: what was held up comes all at once.
+func TestRateLimitSurvivesCuts(t *testing.T) {
+	s := newTestCluster(t)
+	u, got := limitedUpstream(t, "u1")
+	w := &testNetwork{}
+	backend, front := s.start("door", u, nil), s.start("front", nil, w)
+	s.awaitReady(backend, front)
+	const limit = 10
+	u.nameLimit("10")
+	s.want(front, http.MethodPost, "/book/x", http.StatusOK)
+	told := time.Now().Add(limitNotice)
+	ctx, cancel := context.WithTimeout(t.Context(), 7*time.Second)
+	defer cancel()
+	end := s.insist(ctx, front, 20, "/book/x")
+	for range 3 {
+		sleep(ctx, 700*time.Millisecond)
+		w.refuse.Store(true)
+		w.cut()
+		sleep(ctx, 800*time.Millisecond)
+		w.refuse.Store(false)
+	}
+	returned := time.Now()
+	end()
+	if got, most := got.most(told, limitSpan), limitBound(limit); got > most {
+		t.Errorf("requests in %v: got %d, want at most %d for a limit of %v a second", limitSpan, got, most, limit)
+	}
+	if got, least := got.since(returned), limit; got < least {
+		t.Errorf("requests after the cuts: got %d, want at least %d", got, least)
+	}
+}
