Ask an upstream with a limit at most once in two seconds

A health check that failed was repeated every second while the limit held work back, because only an answer counted as a confirmation. An upstream in need got twice the checks that were meant.

--- a/proxy/answerreport.go
+++ b/proxy/answerreport.go
@@ -11,10 +11,10 @@
 // answerReport is what an upstream process has reported of itself in its answers.
 type answerReport struct {
 	rateLimit cyclam.RateLimit
-	// limitSince is when rateLimit last changed, answeredAt when the process last
-	// answered.
-	limitSince time.Time
-	answeredAt time.Time
+	// limitSince is when rateLimit last changed, confirmedAt when the process last
+	// answered or was asked whether the limit still holds.
+	limitSince  time.Time
+	confirmedAt time.Time
 	// loggedLimit is the last limit that was logged.
 	loggedLimit cyclam.RateLimit
 }
@@ -47,7 +47,7 @@
 		return
 	}
 	now := time.Now()
-	n.upstream.reported.answeredAt = now
+	n.upstream.reported.confirmedAt = now
 	n.setRateLimit(now, meta.RateLimit)
 	n.observeLeaving(now, meta)
 }
@@ -56,7 +56,6 @@
 // process. It may not name a limit that requests are subject to, so that without one a
 // request has to tell. The caller holds schedMu.
 func (n *Node) observeHealth(now time.Time, meta cyclam.AnswerMeta) {
-	n.upstream.reported.answeredAt = now
 	if _, limited := meta.RateLimit.PerSecond(); limited {
 		n.setRateLimit(now, meta.RateLimit)
 	} else {
@@ -96,8 +95,12 @@
 // that no answer has confirmed for limitRecheck.
 func (n *Node) recheckRateLimit(ctx context.Context, now time.Time) {
 	n.schedMu.Lock()
-	_, limited := n.upstream.reported.rateLimit.PerSecond()
-	due := limited && now.Sub(n.upstream.reported.answeredAt) >= limitRecheck && n.scheduler.HeldBack(now, limitRecheck)
+	reported := &n.upstream.reported
+	_, limited := reported.rateLimit.PerSecond()
+	due := limited && now.Sub(reported.confirmedAt) >= limitRecheck && n.scheduler.HeldBack(now, limitRecheck)
+	if due {
+		reported.confirmedAt = now
+	}
 	n.schedMu.Unlock()
 	if due {
 		go n.probe(ctx)
