Bound the time to come back under a rate limit only

The bound of 2 s that came with the rate limit also cut the time that callers are told under plain overload, where it is an estimate of when there is room.

--- a/sched/queue.go
+++ b/sched/queue.go
@@ -26,12 +26,12 @@
 	transitMargin     = 20 * time.Millisecond
 )
 
-// The shortest and the longest time after which a refused caller is told to retry. A rate
-// limit may be raised or end long before it would allow the caller's request.
-const (
-	minRetryAfter = 50 * time.Millisecond
-	maxRetryAfter = 2 * time.Second
-)
+// minRetryAfter is the shortest time after which a refused caller may retry.
+const minRetryAfter = 50 * time.Millisecond
+
+// maxLimitedRetryAfter is the longest time after which a caller that was refused under a
+// rate limit is told to retry: the limit may end long before it would allow the request.
+const maxLimitedRetryAfter = 2 * time.Second
 
 // latestEnd returns the latest expected end of a run for which work stays queued.
 // Nested work may use its whole deadline, because the work that waits for it fails
@@ -187,7 +187,11 @@
 
 // retryAfter estimates the time until one more caller's work may start.
 func (s State) retryAfter(now time.Time, ahead int) time.Duration {
-	return min(maxRetryAfter, max(minRetryAfter, s.expectedWait(now, ahead)))
+	after := max(minRetryAfter, s.expectedWait(now, ahead))
+	if s.rate.limited() {
+		return min(maxLimitedRetryAfter, after)
+	}
+	return after
 }
 
 // refuseAll refuses all queued work.
--- a/sched/rate_test.go
+++ b/sched/rate_test.go
@@ -174,8 +174,8 @@
 	if len(decisions) != 1 || decisions[0].Start || decisions[0].Reason != cyclam.ReasonRateLimited {
 		t.Fatalf("got %+v, want a refusal for the rate limit", decisions)
 	}
-	if got := decisions[0].RetryAfter; got < minRetryAfter || got > maxRetryAfter {
-		t.Errorf("retry after: got %v, want %v to %v", got, minRetryAfter, maxRetryAfter)
+	if got := decisions[0].RetryAfter; got < minRetryAfter || got > maxLimitedRetryAfter {
+		t.Errorf("retry after: got %v, want %v to %v", got, minRetryAfter, maxLimitedRetryAfter)
 	}
 	s, decisions = s.WithTrial(at(10)).Arrive(at(10), newWork(2, 10, 500, 1200))
 	if len(decisions) != 1 || !decisions[0].Start {
