Shut no kind of work out under a rate limit

What callers would see: while all upstreams of a service name limits below the urgent work that arrives, every less urgent request refused, for as long as that lasts.

Cause: the queue orders by urgency strictly. Slots free up with every run, so that this rarely shuts anything out; a limit leaves no such gaps.

Under a limit, arrivals and starts of each urgency are counted over some two seconds, and work of one that starts less than a quarter as often as the best served goes first. The order of urgency stays otherwise.

--- a/sched/queue.go
+++ b/sched/queue.go
@@ -63,8 +63,8 @@
 
 // sortQueue puts the queue into the order in which its work starts: nested work first,
 // then by priority, then work that can still meet its soft deadline, then by soft
-// deadline. Under a rate limit, what is equal up to the soft deadline is divided among
-// the senders.
+// deadline. Under a rate limit, work of an urgency that is starved by the others goes first,
+// and what is equal up to the soft deadline is divided among the senders.
 func (s State) sortQueue(now time.Time) {
 	slices.SortStableFunc(s.queue, func(a, b Work) int {
 		return cmp.Or(s.compareUrgency(now, a, b), a.SoftDeadline.Compare(b.SoftDeadline))
@@ -72,8 +72,12 @@
 	if !s.rate.limited() {
 		return
 	}
-	ranks := s.rate.ranks(s.queue)
+	ranks, starved := s.rate.shares.ranks(s.queue), s.rate.shares.starved()
 	slices.SortStableFunc(s.queue, func(a, b Work) int {
+		starvedA, starvedB := starved[a.urgency()], starved[b.urgency()]
+		if starvedA != starvedB {
+			return trueFirst(starvedA)
+		}
 		return cmp.Or(s.compareUrgency(now, a, b), cmp.Compare(ranks[a.Attempt], ranks[b.Attempt]))
 	})
 }
@@ -156,7 +160,7 @@
 	if s.running >= s.limit(now) {
 		return s, false
 	}
-	next, ok := s.rate.take(now, w.Attempt.Sender.Instance)
+	next, ok := s.rate.take(now, w)
 	if !ok {
 		s.heldBackAt = now
 		return s, false
--- a/sched/rate.go
+++ b/sched/rate.go
@@ -1,8 +1,6 @@
 package sched
 
 import (
-	"maps"
-	"math"
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
@@ -23,8 +21,7 @@
 	// tokens is the number of attempts that were allowed to start at time at.
 	tokens float64
 	at     time.Time
-	// starts holds the numbers of recent starts by the instance that sent the attempt.
-	starts map[cyclam.InstanceName]float64
+	shares shares
 }
 
 // withLimit returns the bucket after the upstream has named a limit, or none. An unknown
@@ -44,7 +41,7 @@
 		limit:  limit,
 		tokens: min(r.tokensAt(now), burst(perSecond)),
 		at:     now,
-		starts: r.starts,
+		shares: r.shares,
 	}
 }
 
@@ -73,17 +70,17 @@
 	return min(most, r.tokens+perSecond*max(0, now.Sub(r.at)).Seconds())
 }
 
-const (
-	// shareMemory is the time in which the count of a sender's recent starts falls to
-	// 1/e.
-	shareMemory = 2 * time.Second
-	// minShare is the count below which a sender is forgotten.
-	minShare = 0.01
-)
+// withArrival returns the bucket after the arrival of work.
+func (r rate) withArrival(now time.Time, w Work) rate {
+	if r.limited() {
+		r.shares = r.shares.withArrival(now, w)
+	}
+	return r
+}
 
-// take returns the bucket after the start of a sender's attempt; false means that the
-// limit does not allow one yet.
-func (r rate) take(now time.Time, sender cyclam.InstanceName) (rate, bool) {
+// take returns the bucket after the start of work; false means that the limit does not
+// allow one yet.
+func (r rate) take(now time.Time, w Work) (rate, bool) {
 	if !r.limited() {
 		return r, true
 	}
@@ -91,18 +88,7 @@
 	if tokens < 1 {
 		return r, false
 	}
-	left := math.Exp(-max(0, now.Sub(r.at)).Seconds() / shareMemory.Seconds())
-	starts := maps.Clone(r.starts)
-	if starts == nil {
-		starts = map[cyclam.InstanceName]float64{}
-	}
-	for name, count := range starts {
-		if starts[name] = count * left; starts[name] < minShare {
-			delete(starts, name)
-		}
-	}
-	starts[sender]++
-	r.tokens, r.at, r.starts = tokens-1, now, starts
+	r.tokens, r.at, r.shares = tokens-1, now, r.shares.withStart(now, w)
 	return r, true
 }
 
@@ -119,16 +105,3 @@
 	// The quotient is infinite for a limit of zero.
 	return time.Duration(min(missing/perSecond, maxRateWait.Seconds()) * float64(time.Second))
 }
-
-// ranks returns the order in which queued work starts if each sender gets as many starts
-// as the others: the n-th work of a sender follows its recent starts and n-1 others.
-func (r rate) ranks(queue []Work) map[cyclam.AttemptID]float64 {
-	ranks := make(map[cyclam.AttemptID]float64, len(queue))
-	queued := map[cyclam.InstanceName]float64{}
-	for _, w := range queue {
-		sender := w.Attempt.Sender.Instance
-		ranks[w.Attempt] = r.starts[sender] + queued[sender]
-		queued[sender]++
-	}
-	return ranks
-}
--- a/sched/rate_test.go
+++ b/sched/rate_test.go
@@ -167,6 +167,61 @@
 	}
 }
 
+// Work of little urgency must not be starved by more urgent work that alone exceeds the
+// limit, and must not be served more often either.
+func TestRateLimitStarvesNoKind(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		nested       int
+		urgent, slow int
+	}{
+		{name: "nested work beyond the limit", nested: 50, slow: 200},
+		{name: "urgent work beyond the limit", urgent: 50, slow: 100},
+		{name: "all three", nested: 100, urgent: 100, slow: 500},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRateReplay(18)
+			r.state = r.state.WithRateLimit(at(0), cyclam.RateLimitOf(10))
+			arrived := map[cyclam.InstanceName]float64{}
+			const span = 30_000
+			for ms := range span {
+				for kind, pause := range map[cyclam.InstanceName]int{"nested": c.nested, "urgent": c.urgent, "slow": c.slow} {
+					if pause == 0 || ms%pause != 0 {
+						continue
+					}
+					arrived[kind]++
+					r.next++
+					w := newWork(r.next, ms, 500, 1200).from(kind)
+					w.Nested = kind == "nested"
+					if kind == "slow" {
+						w.Priority = 2
+					}
+					r.arrived[w.Attempt] = at(ms)
+					var decisions []Decision
+					r.state, decisions = r.state.Arrive(at(ms), w)
+					r.apply(at(ms), decisions)
+				}
+				if ms%100 == 0 {
+					r.endRuns(ms)
+				}
+				if ms%25 == 0 {
+					r.tick(ms)
+				}
+			}
+			chance := func(kind cyclam.InstanceName) float64 { return float64(r.startedBy[kind]) / max(1, arrived[kind]) }
+			best := max(chance("nested"), chance("urgent"))
+			for kind := range arrived {
+				if got, least := chance(kind), starvedShare*best*0.9; got < least {
+					t.Errorf("%s: started %v of its arrivals, want at least %v", kind, got, least)
+				}
+			}
+			if got := chance("slow"); got > best {
+				t.Errorf("slow: started %v of its arrivals, want at most %v as the more urgent", got, best)
+			}
+		})
+	}
+}
+
 // A limit of zero must refuse at once, and tell when to come back.
 func TestZeroRateLimitRefusesAtOnce(t *testing.T) {
 	s := newKnown(4).WithRateLimit(at(0), cyclam.RateLimitOf(0))
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -9,8 +9,8 @@
 // can no longer end in time is refused at once, work that can meet its soft
 // deadline goes first), an upstream that hangs or slows down when it is full (it
 // never gets more than its slots), an upstream that names a rate limit (attempts start at
-// that rate, divided among the senders, and what it leaves no room for is refused at
-// once), and requests made by running work (they go first, because the work that waits
+// that rate, divided among senders and urgencies, and what it leaves no room for is
+// refused at once), and requests made by running work (they go first, because the work that waits
 // for them holds a slot at another upstream).
 package sched
 
@@ -206,6 +206,7 @@
 	if !w.Deadline.After(now) {
 		return s, []Decision{refuse(w.Attempt, cyclam.ReasonDeadlineExceeded, 0)}
 	}
+	s.rate = s.rate.withArrival(now, w)
 	if len(s.queue) == 0 {
 		if next, ok := s.start(now, w); ok {
 			return next, []Decision{started(w.Attempt)}
