Don't flood an instance that has just joined

All senders hear of an instance at once, and it seems to be idle and fast: its service time is an assumption until its runs tell, 150 ms where the others need 430.

A sender now makes one attempt to an instance without a report, at a random time within 12 ms for each node of the fleet (3 s at most).

--- a/picker/picker.go
+++ b/picker/picker.go
@@ -7,7 +7,9 @@
 // It is designed for these load patterns: one crowded data centre (calls spill
 // over once queueing there costs more than the longer path), slow and failing
 // upstreams (their own nodes report service time and failure rate), cold starts
-// (the first runs of a new upstream take long, so it gets few), upstreams with a rate
+// (the first runs of a new upstream take long, so it gets few), upstreams that have just
+// joined (all senders hear of them at once, and each sends one attempt until it knows their
+// load), upstreams with a rate
 // limit (they get what their limit leaves room for), and stale load reports (attempts sent
 // since the last report are added to it).
 package picker
@@ -24,6 +26,9 @@
 	Load     cyclam.Load
 	// LoadAt is when the load was reported; zero if it never was.
 	LoadAt time.Time
+	// FirstAt is when the first attempt may be sent to an upstream that has not reported
+	// any load. Senders have different ones, because they hear of it at the same time.
+	FirstAt time.Time
 	// InFlight counts the attempts that this node sent since then and that have
 	// not ended.
 	InFlight int
@@ -44,7 +49,8 @@
 	// another data centre or region, where traffic is billed and links are narrow.
 	CentreCost time.Duration
 	RegionCost time.Duration
-	// InitialServiceTime is assumed of an upstream that has not reported any.
+	// InitialServiceTime is assumed of an upstream that has not reported any if no other
+	// candidate has.
 	InitialServiceTime time.Duration
 }
 
@@ -63,6 +69,10 @@
 // avoidPenalty keeps calls away from an upstream that is unreachable for now.
 const avoidPenalty = 20 * time.Second
 
+// unreportedPenalty keeps calls away from an upstream that has not reported any load while
+// it is too early for the first attempt, or that attempt is still to bring the report.
+const unreportedPenalty = time.Second
+
 // ExpectedLatency returns the expected time until the answer, with penalties for
 // failures and for upstreams that are leaving or unreachable.
 func (t Tuning) ExpectedLatency(now time.Time, c Candidate) time.Duration {
@@ -94,6 +104,9 @@
 	if c.AvoidUntil.After(now) {
 		expected += avoidPenalty
 	}
+	if c.LoadAt.IsZero() && (c.InFlight > 0 || c.FirstAt.After(now)) {
+		expected += unreportedPenalty
+	}
 	return expected
 }
 
@@ -182,12 +195,55 @@
 	return time.Duration(float64(r.Bytes) / c.Load.LinkRate * float64(time.Second))
 }
 
+// firstAttemptSpread is the time for each sender over which the first attempts to a new
+// upstream are spread: the link of a small instance carries a new connection with its first
+// exchange and a request in about that time. maxFirstAttemptDelay bounds it in large fleets,
+// where few senders have a request for a given upstream at a time.
+const (
+	firstAttemptSpread   = 12 * time.Millisecond
+	maxFirstAttemptDelay = 3 * time.Second
+)
+
+// FirstAttemptDelay returns how long a sender waits before its first attempt to an upstream
+// of which all senders have just heard. The function intn returns a random number in [0, n).
+func FirstAttemptDelay(senders int, intn func(n int) int) time.Duration {
+	spread := min(maxFirstAttemptDelay, firstAttemptSpread*time.Duration(senders))
+	return time.Duration(intn(int(spread) + 1))
+}
+
+// withTypicalServiceTime returns the tuning in which an upstream without a reported service
+// time counts as fast as the others on average. If it counted as faster, all senders would
+// pick it until it has reported one.
+func (t Tuning) withTypicalServiceTime(candidates []Candidate) Tuning {
+	if mean := MeanServiceTime(candidates); mean > 0 {
+		t.InitialServiceTime = mean
+	}
+	return t
+}
+
+// MeanServiceTime returns the mean of the service times that candidates have reported, or
+// zero if none has.
+func MeanServiceTime(candidates []Candidate) time.Duration {
+	sum, reported := time.Duration(0), 0
+	for _, c := range candidates {
+		if c.Load.ServiceTime > 0 {
+			sum += c.Load.ServiceTime
+			reported++
+		}
+	}
+	if reported == 0 {
+		return 0
+	}
+	return sum / time.Duration(reported)
+}
+
 // Pick returns the index of the candidate that takes an attempt; false means that
 // there is none. The function intn returns a random number in [0, n).
 func (t Tuning) Pick(now time.Time, r Request, candidates []Candidate, intn func(n int) int) (int, bool) {
 	if len(candidates) == 0 {
 		return 0, false
 	}
+	t = t.withTypicalServiceTime(candidates)
 	costs := make([]time.Duration, len(candidates))
 	best := 0
 	for i, c := range candidates {
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -1,6 +1,7 @@
 package picker
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -63,6 +64,10 @@
 	stale.LoadAt = now.Add(-time.Minute)
 	sent := candidate("sent", here, 0, 0)
 	sent.InFlight = 30
+	joined := candidate("joined", here, 10, 12)
+	joined.Load.ServiceTime = 0
+	long := candidate("long", here, 10, 6)
+	long.Load.ServiceTime = 450 * time.Millisecond
 	limited := candidate("limited", here, 0, 0)
 	limited.Load.RateLimit = cyclam.RateLimitOf(5)
 	exhausted := candidate("exhausted", here, 0, 0)
@@ -96,6 +101,7 @@
 		{"leaving upstream is avoided", small, []Candidate{leaving, candidate("far", far, 10, 20)}, "far"},
 		{"leaving upstream is picked if it is the only one", small, []Candidate{leaving}, "leaving"},
 		{"unreachable upstream comes last", small, []Candidate{avoided, leaving}, "leaving"},
+		{"upstream without a service time counts like the others", small, []Candidate{joined, long}, "long"},
 		{"expired load report is ignored", small, []Candidate{stale, candidate("near", near, 0, 0)}, "stale"},
 		{"upstream within its rate limit", small, []Candidate{limited, candidate("far", far, 0, 0)}, "limited"},
 		{"upstream at its rate limit is avoided", small, []Candidate{exhausted, candidate("near", near, 0, 0)}, "near"},
@@ -120,6 +126,63 @@
 	}
 }
 
+// All senders hear at once of an upstream that has joined, and it seems to be idle until it
+// has reported its load. They must not flood it before its first reports arrive, and must
+// use it soon.
+func TestNewUpstreamIsNotFlooded(t *testing.T) {
+	const (
+		senders = 68
+		// pause is the time between two calls of a sender, reportAfter the time until its
+		// first attempt brings a report.
+		pause       = 60 * time.Millisecond
+		reportAfter = 400 * time.Millisecond
+	)
+	random := rand.New(rand.NewPCG(1, 2))
+	type sender struct {
+		known, joined Candidate
+		sentAt        time.Time
+	}
+	var all []*sender
+	for range senders {
+		s := &sender{
+			known:  candidate("known", near, 5, 0),
+			joined: candidate("joined", near, 0, 0),
+		}
+		s.joined.Load, s.joined.LoadAt = cyclam.Load{}, time.Time{}
+		s.joined.FirstAt = now.Add(FirstAttemptDelay(senders, random.IntN))
+		all = append(all, s)
+	}
+	var sent []time.Time
+	for at := now; at.Before(now.Add(2 * time.Second)); at = at.Add(pause) {
+		for _, s := range all {
+			s.known.LoadAt = at
+			if !s.sentAt.IsZero() && at.Sub(s.sentAt) >= reportAfter {
+				continue
+			}
+			i, _ := tuning.Pick(at, Request{From: here}, []Candidate{s.known, s.joined}, func(int) int { return 0 })
+			if i == 1 {
+				sent = append(sent, at)
+				s.joined.InFlight++
+				if s.sentAt.IsZero() {
+					s.sentAt = at
+				}
+			}
+		}
+	}
+	if got, want := len(sent), senders; got != want {
+		t.Errorf("attempts before the first reports: got %d, want one of each sender, %d", got, want)
+	}
+	first := 0
+	for _, at := range sent {
+		if at.Sub(now) < 100*time.Millisecond {
+			first++
+		}
+	}
+	if most := senders / 3; first > most {
+		t.Errorf("attempts in the first 100 ms: got %d, want at most %d", first, most)
+	}
+}
+
 // A hedge at an upstream with a rate limit would take the place of another request.
 func TestRateLimitedUpstreamHasNoFreeSlot(t *testing.T) {
 	c := candidate("limited", here, 0, 0)
--- a/proxy/fleet.go
+++ b/proxy/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
@@ -94,6 +95,7 @@
 		m.view = picker.Candidate{
 			RTT:     picker.InitialRTT(f.self.Locality, e.Locality),
 			BaseRTT: picker.InitialRTT(f.self.Locality, e.Locality),
+			FirstAt: now.Add(picker.FirstAttemptDelay(len(f.members), rand.IntN)),
 		}
 		m.failures = 0
 	}
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -88,7 +88,7 @@
 	j.memory = &n.answers
 	goal := now.Add(time.Duration(offer.GoalUs) * time.Microsecond)
 	if bytes := int(n.answerBytes[offer.Route]); bytes >= largeAnswerBytes {
-		ok, after := n.pacer.commit(now, n.scheduler.Load(now).ServiceTime, bytes, goal, j.deadline)
+		ok, after := n.pacer.commit(now, n.scheduler.ServiceTime(), bytes, goal, j.deadline)
 		if !ok {
 			n.meters.countRefusal(cyclam.ReasonOverloaded)
 			n.Log.Debug("answer-has-no-room", append(n.jobFields(j), "bytes", bytes, "after", after)...)
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -176,7 +176,7 @@
 		Running:     s.running,
 		Waiting:     len(s.queue),
 		Limit:       s.limit(now),
-		ServiceTime: s.serviceTime,
+		ServiceTime: s.settledServiceTime(),
 		Failing:     s.failureRate,
 		Leaving:     s.leaving || !s.known,
 		RateLimit:   s.rate.limit,
@@ -184,6 +184,18 @@
 	}
 }
 
+// ServiceTime returns the expected time of a run.
+func (s State) ServiceTime() time.Duration { return s.serviceTime }
+
+// WithServiceTimeHint returns the state after the service time of other upstreams of the
+// same service has become known. It counts until a run has ended.
+func (s State) WithServiceTimeHint(typical time.Duration) State {
+	if len(s.routes) == 0 && typical > 0 {
+		s.serviceTime = typical
+	}
+	return s
+}
+
 // externalLoadTTL is how long a load reported by the upstream lowers the limit.
 const externalLoadTTL = time.Second
 
@@ -286,6 +298,14 @@
 // meanServiceTime returns the mean of the settled routes after a run, or the moving
 // average over all runs if no route has settled.
 func (s State) meanServiceTime(took time.Duration) time.Duration {
+	if settled := s.settledServiceTime(); settled > 0 {
+		return settled
+	}
+	return movingAverage(s.serviceTime, took)
+}
+
+// settledServiceTime returns the mean of the settled routes, or zero if none has settled.
+func (s State) settledServiceTime() time.Duration {
 	sum, settled := time.Duration(0), 0
 	for _, r := range s.routes {
 		if r.runs == settledRuns {
@@ -294,7 +314,7 @@
 		}
 	}
 	if settled == 0 {
-		return movingAverage(s.serviceTime, took)
+		return 0
 	}
 	return sum / time.Duration(settled)
 }
--- a/sched/servicetime_test.go
+++ b/sched/servicetime_test.go
@@ -76,3 +76,29 @@
 		t.Errorf("service time: got %v, want about %v", got, want)
 	}
 }
+
+// An upstream that has just started must not seem to be faster than the others: all nodes
+// would send their requests to it. It reports no service time until its runs tell, and
+// meanwhile expects its runs to take as long as those of the others.
+func TestServiceTimeOfNewUpstream(t *testing.T) {
+	s := newKnown(18)
+	if got := s.Load(at(0)).ServiceTime; got != 0 {
+		t.Errorf("service time before the first run: got %v, want none", got)
+	}
+	const typical = 430 * time.Millisecond
+	s = s.WithServiceTimeHint(typical)
+	if got, want := s.ServiceTime(), typical; got != want {
+		t.Errorf("expected service time: got %v, want %v", got, want)
+	}
+	if got := s.Load(at(0)).ServiceTime; got != 0 {
+		t.Errorf("reported service time: got %v, want none", got)
+	}
+	s = endRuns(s, settledRuns, "r", 360*time.Millisecond)
+	got := s.Load(at(0)).ServiceTime
+	if got < 350*time.Millisecond || got > typical {
+		t.Errorf("service time after %d runs: got %v, want from 350 ms to %v", settledRuns, got, typical)
+	}
+	if after := s.WithServiceTimeHint(time.Second).Load(at(0)).ServiceTime; after != got {
+		t.Errorf("service time after a late hint: got %v, want %v", after, got)
+	}
+}
--- a/upstream.go
+++ b/upstream.go
@@ -30,7 +30,7 @@
 	Running int
 	Waiting int
 	Limit   int
-	// ServiceTime is the recent mean time of a run.
+	// ServiceTime is the recent mean time of a run; zero if too few have ended to tell.
 	ServiceTime time.Duration
 	// Failing is the share of recent answers that failed, from 0 to 1.
 	Failing float64
