Count an overdue acknowledgement as round trip

The round trip to a node is now at least the time for which an acknowledgement is awaited from it, so that a node that does not answer falls behind others within some tens of milliseconds, not at the reset of its link after 350.

A case of TestPick guards it.

--- a/picker/picker.go
+++ b/picker/picker.go
@@ -37,6 +37,9 @@
 	RTT     time.Duration
 	RTTAt   time.Time
 	BaseRTT time.Duration
+	// UnackedSince is when the oldest attempt was sent that the node has not acknowledged;
+	// zero if there is none.
+	UnackedSince time.Time
 	// AvoidUntil is set after the link failed or the node refused an attempt.
 	AvoidUntil time.Time
 }
@@ -142,8 +145,18 @@
 // then, and only a new request would show it.
 const rttTTL = 4 * time.Second
 
-// RoundTrip returns the expected round-trip time.
+// RoundTrip returns the expected round-trip time. It is at least the time for which an
+// acknowledgement is awaited: a node that does not answer sends no newer load either, and
+// would be picked by its last one.
 func (c Candidate) RoundTrip(now time.Time) time.Duration {
+	measured := c.measuredRoundTrip(now)
+	if c.UnackedSince.IsZero() {
+		return measured
+	}
+	return max(measured, now.Sub(c.UnackedSince))
+}
+
+func (c Candidate) measuredRoundTrip(now time.Time) time.Duration {
 	excess := c.RTT - c.BaseRTT
 	if excess <= 0 {
 		return c.RTT
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -68,6 +68,8 @@
 	joined.Load.ServiceTime = 0
 	long := candidate("long", here, 10, 6)
 	long.Load.ServiceTime = 450 * time.Millisecond
+	silent := candidate("silent", here, 1, 0)
+	silent.UnackedSince = now.Add(-300 * time.Millisecond)
 	limited := candidate("limited", here, 0, 0)
 	limited.Load.RateLimit = cyclam.RateLimitOf(5)
 	exhausted := candidate("exhausted", here, 0, 0)
@@ -102,6 +104,7 @@
 		{"leaving upstream is picked if it is the only one", small, []Candidate{leaving}, "leaving"},
 		{"unreachable upstream comes last", small, []Candidate{avoided, leaving}, "leaving"},
 		{"upstream without a service time counts like the others", small, []Candidate{joined, long}, "long"},
+		{"upstream whose node does not acknowledge is avoided", small, []Candidate{silent, candidate("near", near, 10, 4)}, "near"},
 		{"expired load report is ignored", small, []Candidate{stale, candidate("near", near, 0, 0)}, "stale"},
 		{"upstream within its rate limit", small, []Candidate{limited, candidate("far", far, 0, 0)}, "limited"},
 		{"upstream at its rate limit is avoided", small, []Candidate{exhausted, candidate("near", near, 0, 0)}, "near"},
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -74,6 +74,8 @@
 		a.report(a.runLocal(ctx))
 		return
 	}
+	a.node.noteSent(a)
+	defer a.node.noteAcked(a)
 	began := time.Now()
 	interruptions := 0
 	for {
@@ -192,6 +194,7 @@
 	go l.awaitReply(sctx, conn, acked, a.ackLimit())
 	source.onFirst = func() {
 		close(acked)
+		a.node.noteAcked(a)
 		if !a.offer.Resume {
 			a.node.observeRTT(a.target.Endpoint.Instance, time.Since(began))
 		}
--- a/proxy/fleet.go
+++ b/proxy/fleet.go
@@ -15,6 +15,8 @@
 	view picker.Candidate
 	// at is the position of the stored entry that was applied last.
 	at cyclam.Position
+	// unacked holds when the attempts were sent that the node has not acknowledged.
+	unacked map[*attempt]time.Time
 	// spokeAt is the time of the last message of the node about itself.
 	spokeAt time.Time
 	// failures is the number of consecutive failed connects; unreachableSince is the
@@ -126,12 +128,49 @@
 	for _, m := range f.members {
 		e := m.view.Endpoint
 		if e.Service == service && e.State != cyclam.EndpointGone {
-			views = append(views, m.view)
+			view := m.view
+			view.UnackedSince = m.unackedSince()
+			views = append(views, view)
 		}
 	}
 	return views
 }
 
+// unackedSince returns when the oldest attempt was sent that is not acknowledged; zero if
+// there is none.
+func (m *member) unackedSince() time.Time {
+	var oldest time.Time
+	for _, at := range m.unacked {
+		if oldest.IsZero() || at.Before(oldest) {
+			oldest = at
+		}
+	}
+	return oldest
+}
+
+// noteSent records that an attempt is being sent to its node.
+func (n *Node) noteSent(a *attempt) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	m, ok := n.fleet.members[a.target.Endpoint.Instance]
+	if !ok {
+		return
+	}
+	if m.unacked == nil {
+		m.unacked = map[*attempt]time.Time{}
+	}
+	m.unacked[a] = time.Now()
+}
+
+// noteAcked records that an attempt was acknowledged or has ended.
+func (n *Node) noteAcked(a *attempt) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if m, ok := n.fleet.members[a.target.Endpoint.Instance]; ok {
+		delete(m.unacked, a)
+	}
+}
+
 // updateLoad applies the load that came with a reply. An incarnation other than the
 // known one means that the node has restarted.
 func (n *Node) updateLoad(name cyclam.InstanceName, l *wire.Load) {
