--- /dev/null
+++ b/proxy/withdraw.go
@@ -0,0 +1,97 @@
+package proxy
+
+import (
+	"math"
+	"time"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
+)
+
+// revoke cancels an attempt whose sender needs no answer. It returns true if the attempt
+// has not started and never will.
+func (n *Node) revoke(attempt cyclam.AttemptID) bool {
+	n.schedMu.Lock()
+	defer n.schedMu.Unlock()
+	j, known := n.jobs[attempt]
+	if !known {
+		if n.fences.discarded.has(attempt) {
+			return false
+		}
+		n.fences.revoked.add(attempt)
+		return true
+	}
+	// The sender needs no reply, so a stop does not wait for it to read one.
+	j.settle()
+	state, queued := n.scheduler.Withdraw(attempt)
+	if !queued {
+		if !j.hasEnded() && j.ctx.Err() == nil {
+			n.meters.cancelledRevoked.Inc(1)
+		}
+		j.cancel(errRevoked)
+		return false
+	}
+	n.scheduler = state
+	j.append(declined(cyclam.ReasonCancelled, 0), true)
+	return true
+}
+
+// unreadGrace is how long an attempt waits for a slot after its sender's connection has
+// broken.
+const unreadGrace = 400 * time.Millisecond
+
+// release detaches a reader from a job. After unreadGrace without a reader, an attempt
+// that has not started is withdrawn, so that its sender can try another node. A run
+// continues, because its sender resumes the attempt until the deadline and revokes it if
+// the caller leaves.
+func (n *Node) release(j *job, r *jobCursor) {
+	n.pacer.uncommit(j.uncommit(math.MaxInt))
+	if !j.detach(r) {
+		return
+	}
+	time.AfterFunc(unreadGrace, func() { n.dropUnread(j) })
+}
+
+// dropUnread refuses a job that has had no reader for unreadGrace and waits for a slot.
+// It cancels a run whose answer no reader can receive whole any more.
+func (n *Node) dropUnread(j *job) {
+	n.schedMu.Lock()
+	defer n.schedMu.Unlock()
+	if j.hasEnded() || j.unreadFor(time.Now()) < unreadGrace {
+		return
+	}
+	if state, queued := n.scheduler.Withdraw(j.attempt); queued {
+		n.scheduler = state
+		j.append(declined(cyclam.ReasonCancelled, 0), true)
+		return
+	}
+	if !j.resumable() {
+		n.cancelUnread(j)
+	}
+}
+
+func (n *Node) cancelUnread(j *job) {
+	n.meters.cancelledUnread.Inc(1)
+	j.settle()
+	j.cancel(errUnread)
+}
+
+// cancelAbandoned cancels the runs without a reader whose senders' processes are known to
+// have been replaced: nobody resumes or revokes them.
+func (n *Node) cancelAbandoned(now time.Time) {
+	var unread []*job
+	n.schedMu.Lock()
+	for _, j := range n.jobs {
+		if j.unreadFor(now) >= unreadGrace && !j.delivered(now) {
+			unread = append(unread, j)
+		}
+	}
+	n.schedMu.Unlock()
+	for _, j := range unread {
+		n.mu.Lock()
+		replaced := n.fleet.store.ended[j.attempt.Sender].replaced
+		n.mu.Unlock()
+		if replaced {
+			n.cancelUnread(j)
+		}
+	}
+}
