Keep one record of arrivals for the tests of two packages

The tests of proxy and of the drill each had a type that counts the requests at an upstream and the bound on them under a rate limit. The bounds are the same: 1.5 times the limit and 5 requests in 4 s.

--- a/proxy/leaving_test.go
+++ b/proxy/leaving_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/stand/tally"
 )
 
 // An upstream that says in an answer that it leaves must get nothing once the drain period
@@ -183,10 +184,10 @@
 // have passed on an answer with it, though the health check does not tell.
 func TestRateLimitSurvivesRestart(t *testing.T) {
 	s := newTestCluster(t)
-	u, got := newUpstream(t, "u1"), &arrivals{}
+	u, got := newUpstream(t, "u1"), &tally.Arrivals{}
 	respond := respondAfter(400 * time.Millisecond)
 	u.work = func(w http.ResponseWriter, r *http.Request) {
-		got.add()
+		got.Add("")
 		respond(w, r)
 	}
 	u.plainHealth.Store(true)
@@ -206,9 +207,7 @@
 	kill()
 	restarted := s.restart(backend)
 	end()
-	if got, most := got.most(told, limitSpan), limitBound(limit); got > most {
-		t.Errorf("requests in %v: got %d, want at most %d for a limit of %v a second", limitSpan, got, most, limit)
-	}
+	checkLimit(t, got, told, limit)
 	if restarted.meters.upstreamRequests.Count() == 0 {
 		t.Error("requests after the restart: got 0, want some")
 	}
@@ -225,7 +224,7 @@
 	for range 5 {
 		s.want(backend, http.MethodPost, "/book/x", http.StatusServiceUnavailable)
 	}
-	if got := got.since(time.Time{}); got != 0 {
+	if got := got.Since(time.Time{}); got != 0 {
 		t.Errorf("requests: got %d, want 0", got)
 	}
 }
--- a/proxy/ratelimit_test.go
+++ b/proxy/ratelimit_test.go
@@ -6,62 +6,20 @@
 	"sync"
 	"testing"
 	"time"
-)
-
-// arrivals records when requests arrived at an upstream.
-type arrivals struct {
-	mu    sync.Mutex
-	times []time.Time
-}
 
-func (a *arrivals) add() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.times = append(a.times, time.Now())
-}
+	"github.com/cyclamensaddle/cyclam/stand/tally"
+)
 
-// since returns how many requests arrived from a time on.
-func (a *arrivals) since(from time.Time) int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	count := 0
-	for _, at := range a.times {
-		if !at.Before(from) {
-			count++
-		}
-	}
-	return count
-}
+// limitNotice is the time after which a node that has passed on an answer with a limit has
+// to keep it.
+const limitNotice = 500 * time.Millisecond
 
-// most returns the highest number of arrivals in any span of this length from a time on.
-func (a *arrivals) most(from time.Time, span time.Duration) int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	most, first := 0, 0
-	for i, at := range a.times {
-		for a.times[first].Before(from) && first < i || at.Sub(a.times[first]) > span {
-			first++
-		}
-		if !at.Before(from) {
-			most = max(most, i-first+1)
-		}
+// checkLimit checks what an upstream with a limit got from a time on.
+func checkLimit(t *testing.T, got *tally.Arrivals, from time.Time, perSecond float64) {
+	t.Helper()
+	if got, most := got.Most(from, tally.LimitSpan), tally.LimitBound(perSecond); got > most {
+		t.Errorf("requests in %v: got %d, want at most %d for a limit of %v a second", tally.LimitSpan, got, most, perSecond)
 	}
-	return most
-}
-
-// The bound on what an upstream with a rate limit may get in any limitSpan: limitSlack
-// times what the limit allows, and limitExtra requests.
-const (
-	limitSpan  = 4 * time.Second
-	limitSlack = 1.5
-	limitExtra = 5
-	// limitNotice is the time after which a node that has passed on an answer with a limit
-	// has to keep it.
-	limitNotice = 500 * time.Millisecond
-)
-
-func limitBound(perSecond float64) int {
-	return int(limitSlack*perSecond*limitSpan.Seconds()) + limitExtra
 }
 
 // insist sends requests from several workers through a node, each again after a short
@@ -92,11 +50,11 @@
 
 // limitedUpstream returns an upstream whose answers take a few milliseconds and the record
 // of its requests.
-func limitedUpstream(t *testing.T, id string) (*upstream, *arrivals) {
-	u, got := newUpstream(t, id), &arrivals{}
+func limitedUpstream(t *testing.T, id string) (*upstream, *tally.Arrivals) {
+	u, got := newUpstream(t, id), &tally.Arrivals{}
 	respond := respondAfter(5 * time.Millisecond)
 	u.work = func(w http.ResponseWriter, r *http.Request) {
-		got.add()
+		got.Add("")
 		respond(w, r)
 	}
 	return u, got
@@ -108,7 +66,7 @@
 	u, got := limitedUpstream(t, "u1")
 	backend, first, second := s.start("door", u, nil), s.start("front-a", nil, nil), s.start("front-b", nil, nil)
 	s.awaitReady(backend, first, second)
-	ctx, cancel := context.WithTimeout(t.Context(), limitSpan+3*time.Second)
+	ctx, cancel := context.WithTimeout(t.Context(), tally.LimitSpan+3*time.Second)
 	defer cancel()
 	var ends []func() map[int]int
 	for _, n := range []*Node{backend, first, second} {
@@ -121,9 +79,7 @@
 	for _, end := range ends {
 		end()
 	}
-	if got, most := got.most(told, limitSpan), limitBound(limit); got > most {
-		t.Errorf("requests in %v: got %d, want at most %d for a limit of %v a second", limitSpan, got, most, limit)
-	}
+	checkLimit(t, got, told, limit)
 }
 
 // The limit must end with the first answer that no longer names it, and an upstream with
@@ -141,13 +97,13 @@
 	end := s.insist(ctx, front, 4, "/book/x")
 	limitedAt := time.Now()
 	sleep(ctx, 3*time.Second)
-	if got, least := got.since(limitedAt), limit*3*9/10; got < least {
+	if got, least := got.Since(limitedAt), limit*3*9/10; got < least {
 		t.Errorf("requests in 3 s with a limit of %d a second: got %d, want at least %d", limit, got, least)
 	}
 	u.nameLimit("")
 	ended := time.Now()
 	sleep(ctx, time.Second)
-	if got, least := got.since(ended), 5*limit; got < least {
+	if got, least := got.Since(ended), 5*limit; got < least {
 		t.Errorf("requests in a second after the limit has ended: got %d, want at least %d", got, least)
 	}
 	cancel()
@@ -168,7 +124,7 @@
 	if counts := s.insist(ctx, backend, 1, "/book/x")(); counts[http.StatusOK] > 0 {
 		t.Errorf("answers by status: got %v, want only refusals", counts)
 	}
-	if got := got.since(limitedAt); got > 0 {
+	if got := got.Since(limitedAt); got > 0 {
 		t.Errorf("requests with a limit of zero: got %d, want 0", got)
 	}
 	u.nameLimit("")
@@ -200,7 +156,7 @@
 			}
 		}
 	}
-	if got := got.since(limitedAt); got > 0 {
+	if got := got.Since(limitedAt); got > 0 {
 		t.Errorf("requests at the upstream: got %d, want 0", got)
 	}
 }
@@ -257,10 +213,8 @@
 	}
 	returned := time.Now()
 	end()
-	if got, most := got.most(told, limitSpan), limitBound(limit); got > most {
-		t.Errorf("requests in %v: got %d, want at most %d for a limit of %v a second", limitSpan, got, most, limit)
-	}
-	if got, least := got.since(returned), limit; got < least {
+	checkLimit(t, got, told, limit)
+	if got, least := got.Since(returned), limit; got < least {
 		t.Errorf("requests after the cuts: got %d, want at least %d", got, least)
 	}
 }
--- a/stand/drill/leaving_test.go
+++ b/stand/drill/leaving_test.go
@@ -7,19 +7,6 @@
 	"github.com/cyclamensaddle/cyclam/stand/mstore"
 )
 
-// fromOthers returns how many requests of other machines' clients arrived from a time on.
-func (a *arrivals) fromOthers(from time.Time, machine string) int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	count := 0
-	for i, at := range a.times {
-		if !at.Before(from) && a.from[i] != machine {
-			count++
-		}
-	}
-	return count
-}
-
 // A backend that says in its answers that it leaves must get nothing once the drain time
 // has passed, though it reports that it is ready, and no request may be lost for that. This
 // must also hold for the machines that know it after the node beside it was killed while
@@ -28,8 +15,7 @@
 	f := startFleet(t, *seedFlag)
 	f.stats.enter("leaving")
 	m := f.machines[0]
-	got := &arrivals{}
-	m.watch(got.add)
+	got := tallyOf(m)
 	wait(f.clientsCtx, 2*time.Second)
 	m.setSteady(false)
 	m.backend.SayLeaving()
@@ -38,7 +24,7 @@
 	wait(f.clientsCtx, drainTime+settled)
 	drained := time.Now()
 	wait(f.clientsCtx, 2*time.Second)
-	if got := got.since(drained); got > 0 {
+	if got := got.Since(drained); got > 0 {
 		t.Errorf("requests after the drain time: got %d, want 0", got)
 	}
 	f.report()
@@ -48,12 +34,12 @@
 	m.killNode(t)
 	m.startNode(t)
 	wait(f.clientsCtx, 4*time.Second)
-	if got := got.fromOthers(drained, m.name); got > 0 {
+	if got := got.SinceExcept(drained, m.name); got > 0 {
 		t.Errorf("requests of other machines after the kill of the node: got %d, want 0", got)
 	}
 	f.store.SetClientFault(m.name, mstore.Fault{})
 	wait(f.clientsCtx, 2*time.Second)
-	if got := got.fromOthers(drained, m.name); got > 0 {
+	if got := got.SinceExcept(drained, m.name); got > 0 {
 		t.Errorf("requests of other machines after the store's return: got %d, want 0", got)
 	}
 	f.stats.mu.Lock()
--- a/stand/drill/limit_test.go
+++ b/stand/drill/limit_test.go
@@ -3,77 +3,31 @@
 import (
 	"strconv"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/cyclamensaddle/cyclam/stand/mstore"
+	"github.com/cyclamensaddle/cyclam/stand/tally"
 )
 
-// The bound on what a backend with a rate limit may get in any limitSpan, from
-// limitNotice after it first named the limit: limitSlack times what the limit allows, and
-// limitExtra requests.
-const (
-	limitSpan   = 4 * time.Second
-	limitNotice = 3 * time.Second
-	limitSlack  = 1.5
-	limitExtra  = 5
-)
-
-func limitBound(perSecond float64) int {
-	return int(limitSlack*perSecond*limitSpan.Seconds()) + limitExtra
-}
+// limitNotice is the time from which a backend that has named a limit may rely on it.
+const limitNotice = 3 * time.Second
 
-// arrivals records when requests arrived at a backend.
-type arrivals struct {
-	mu    sync.Mutex
-	times []time.Time
-	// from holds the machines whose clients sent the requests.
-	from []string
-}
-
-func (a *arrivals) add(attempt string) {
-	machine, _, _ := strings.Cut(strings.TrimPrefix(attempt, oncePrefix), "-")
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.times = append(a.times, time.Now())
-	a.from = append(a.from, machine)
-}
-
-// most returns the highest number of arrivals in any limitSpan from a time on.
-func (a *arrivals) most(from time.Time) int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	most, first := 0, 0
-	for i, at := range a.times {
-		for a.times[first].Before(from) && first < i || at.Sub(a.times[first]) > limitSpan {
-			first++
-		}
-		if !at.Before(from) {
-			most = max(most, i-first+1)
-		}
-	}
-	return most
-}
-
-// since returns how many requests arrived from a time on.
-func (a *arrivals) since(from time.Time) int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	count := 0
-	for _, at := range a.times {
-		if !at.Before(from) {
-			count++
-		}
-	}
-	return count
+// tallyOf records the requests that arrive at a machine's backend from now on.
+func tallyOf(m *machine) *tally.Arrivals {
+	got := &tally.Arrivals{}
+	m.watch(func(attempt string) {
+		machine, _, _ := strings.Cut(strings.TrimPrefix(attempt, oncePrefix), "-")
+		got.Add(machine)
+	})
+	return got
 }
 
 // checkLimit checks the bound from a time on.
-func (f *fleet) checkLimit(got *arrivals, from time.Time, perSecond float64) {
+func (f *fleet) checkLimit(got *tally.Arrivals, from time.Time, perSecond float64) {
 	f.t.Helper()
-	if got, most := got.most(from), limitBound(perSecond); got > most {
-		f.t.Errorf("%s: requests in %v: got %d, want at most %d for a limit of %v a second", f.stats.scenarioName(), limitSpan, got, most, perSecond)
+	if got, most := got.Most(from, tally.LimitSpan), tally.LimitBound(perSecond); got > most {
+		f.t.Errorf("%s: requests in %v: got %d, want at most %d for a limit of %v a second", f.stats.scenarioName(), tally.LimitSpan, got, most, perSecond)
 	}
 }
 
@@ -85,21 +39,20 @@
 	f := startFleet(t, *seedFlag)
 	f.stats.enter("limit")
 	m := f.machines[0]
-	got := &arrivals{}
-	m.watch(got.add)
+	got := tallyOf(m)
 	wait(f.clientsCtx, 2*time.Second)
 	m.backend.NameLimit(strconv.FormatFloat(limit, 'f', -1, 64))
 	named := time.Now()
-	wait(f.clientsCtx, limitNotice+2*limitSpan)
+	wait(f.clientsCtx, limitNotice+2*tally.LimitSpan)
 	f.checkLimit(got, named.Add(limitNotice), limit)
-	if got, least := got.since(named.Add(limitNotice)), int(limit*limitSpan.Seconds()); got < least {
-		t.Errorf("requests in %v: got %d, want at least %d for a limit of %v a second", 2*limitSpan, got, least, limit)
+	if got, least := got.Since(named.Add(limitNotice)), int(limit*tally.LimitSpan.Seconds()); got < least {
+		t.Errorf("requests in %v: got %d, want at least %d for a limit of %v a second", 2*tally.LimitSpan, got, least, limit)
 	}
 	m.backend.NameLimit("")
 	ended := time.Now()
-	wait(f.clientsCtx, limitSpan)
-	if got, least := got.since(ended), 2*limitBound(limit); got < least {
-		t.Errorf("requests in %v after the end of the limit: got %d, want at least %d", limitSpan, got, least)
+	wait(f.clientsCtx, tally.LimitSpan)
+	if got, least := got.Since(ended), 2*tally.LimitBound(limit); got < least {
+		t.Errorf("requests in %v after the end of the limit: got %d, want at least %d", tally.LimitSpan, got, least)
 	}
 	f.report()
 }
@@ -111,8 +64,7 @@
 	f := startFleet(t, *seedFlag)
 	f.stats.enter("limit under faults")
 	m, other := f.machines[0], f.machines[1]
-	got := &arrivals{}
-	m.watch(got.add)
+	got := tallyOf(m)
 	wait(f.clientsCtx, time.Second)
 	m.backend.NameLimit(strconv.FormatFloat(limit, 'f', -1, 64))
 	named := time.Now()
@@ -128,7 +80,7 @@
 		wait(f.clientsCtx, f.between(time.Second, 3*time.Second))
 	}
 	f.store.SetClientFault(m.name, mstore.Fault{})
-	wait(f.clientsCtx, limitSpan)
+	wait(f.clientsCtx, tally.LimitSpan)
 	f.checkLimit(got, named.Add(limitNotice), limit)
 	f.stats.mu.Lock()
 	defer f.stats.mu.Unlock()
