Log how a run without an answer got its connection and how long it waited

A run given up a few milliseconds after its start could not be told by its line: whether its connection had carried another answer just before, and whether the run had waited for a slot.

run-without-answer names the wait, and its error names how long the upstream's connection had been idle if it was reused. The line of a run cut by bytes of no request now reads:

reason=answer-lost took="175µs" waited="57µs" cause=<nil> unread-for=0s error="connection reused after 6.1ms: read answer: malformed HTTP response"

--- a/origin/conn.go
+++ b/origin/conn.go
@@ -25,6 +25,10 @@
 	// until idleTimeout later.
 	idleSince   time.Time
 	idleTimeout time.Duration
+	// rested is how long the connection had been idle when it was reused; reused is set if
+	// it has served another request before.
+	rested time.Duration
+	reused bool
 	// idleRead receives the result of the read that runs while the connection is
 	// idle.
 	idleRead chan error
@@ -88,6 +92,7 @@
 		}
 		idleFor := time.Since(c.idleSince)
 		if idleFor < c.idleTimeout && (idempotent || idleFor < nonIdempotentIdleLimit) && c.stopIdleRead() {
+			c.rested, c.reused = idleFor, true
 			return c, nil
 		}
 		c.close()
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -116,6 +116,9 @@
 		if err != nil && ctx.Err() != nil {
 			return ctx.Err()
 		}
+		if err != nil && c.reused {
+			err = errors.WithMessagef(err, "connection reused after %v", c.rested)
+		}
 		return err
 	}
 	p.put(c)
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -231,6 +231,7 @@
 		n.Log.Warn("run-without-answer", append(n.jobFields(j),
 			"reason", reason,
 			"took", took,
+			"waited", time.Since(j.arrived)-took,
 			"cause", context.Cause(j.ctx),
 			"unread-for", j.unreadFor(time.Now()),
 			"error", err,
