Log connections closed as idle, and requests that arrive on them

Cause: a caller's connection that the node closes as idle leaves no line. If a request had arrived on it, the only trace is request-failed with caller-gone=true, which is written as well when a caller has really left.

--- a/proxy/config.go
+++ b/proxy/config.go
@@ -62,6 +62,9 @@
 		"bytes", len(spec),
 		"routes", len(config.Routes),
 		"services", len(config.Services),
+		"idle-timeout", config.Limits.IdleTimeout,
+		"body-bytes", config.Limits.BodyBytes,
+		"header-bytes", config.Limits.HeaderBytes,
 	)
 }
 
--- a/proxy/idle.go
+++ b/proxy/idle.go
@@ -8,6 +8,7 @@
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/hashicorp/go-hclog"
 )
 
 // headerTimeoutCap bounds the reading of a request's header. The HTTP server gets it
@@ -34,8 +35,12 @@
 // http.Server's own idle timeout is fixed at start, while this one may change
 // while connections are open.
 type idleConns struct {
+	log hclog.Logger
+
 	mu    sync.Mutex
 	since map[net.Conn]time.Time
+	// closed holds when each connection was closed here, until the server has noted it.
+	closed map[net.Conn]time.Time
 }
 
 // track is the ConnState hook of the server; it records when c became idle.
@@ -45,8 +50,14 @@
 	switch state {
 	case http.StateNew, http.StateIdle:
 		i.since[c] = time.Now()
+	case http.StateActive:
+		delete(i.since, c)
+		if at, ok := i.closed[c]; ok {
+			i.log.Warn("request-on-closed-connection", "caller", c.RemoteAddr(), "closed-for", time.Since(at))
+		}
 	default:
 		delete(i.since, c)
+		delete(i.closed, c)
 	}
 }
 
@@ -69,12 +80,22 @@
 }
 
 func (i *idleConns) close(now time.Time, limit time.Duration) {
+	began := time.Now()
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	closed, longest := 0, time.Duration(0)
 	for c, since := range i.since {
-		if now.Sub(since) > limit {
-			_ = c.Close()
-			delete(i.since, c)
+		idle := now.Sub(since)
+		if idle <= limit {
+			continue
 		}
+		_ = c.Close()
+		delete(i.since, c)
+		i.closed[c] = now
+		closed++
+		longest = max(longest, idle)
+	}
+	if closed > 0 {
+		i.log.Info("idle-connections-closed", "closed", closed, "open", len(i.since), "limit", limit, "longest", longest, "took", time.Since(began))
 	}
 }
--- a/proxy/node.go
+++ b/proxy/node.go
@@ -231,7 +231,9 @@
 // serveCallers runs the HTTP server for callers until the context ends.
 func (n *Node) serveCallers(ctx context.Context, group *errgroup.Group, listener net.Listener) {
 	idle := &idleConns{
-		since: map[net.Conn]time.Time{},
+		log:    n.Log,
+		since:  map[net.Conn]time.Time{},
+		closed: map[net.Conn]time.Time{},
 	}
 	n.server = &http.Server{
 		Handler:           http.HandlerFunc(n.handle),
