Show that late messages let gone callers' requests start

The upstream's node counts an offer's remaining time from its arrival and starts a waiting attempt on what its sender said when it sent the offer. So time on the way is added to the deadline, and an attempt whose caller has left starts unless the revocation arrives first.

The tests connect two nodes by links that deliver bytes late and in order. The bound is that of the rule: half a second.

--- /dev/null
+++ b/proxy/late_test.go
@@ -0,0 +1,181 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// goneWithin is how long work may still reach an upstream, or go on there, after its
+// caller has left or its deadline has passed.
+const goneWithin = 500 * time.Millisecond
+
+// startedRun is a request that has reached an upstream and the time that it was handed.
+type startedRun struct {
+	at     time.Time
+	handed time.Duration
+}
+
+// startsOf makes u report the requests for a path before work answers them.
+func (u *upstream) startsOf(path string, work func(http.ResponseWriter, *http.Request)) <-chan startedRun {
+	starts := make(chan startedRun, 100)
+	u.work = func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == path {
+			handed, _ := time.ParseDuration(r.Header.Get("X-Wait"))
+			starts <- startedRun{
+				at:     time.Now(),
+				handed: handed,
+			}
+		}
+		work(w, r)
+	}
+	return starts
+}
+
+// latePair is an upstream's node, door, and another node that sends it requests.
+type latePair struct {
+	*testCluster
+
+	upstream    *upstream
+	network     *lateNetwork
+	door, front *Node
+	// links are those of front.
+	links *nodeLinks
+}
+
+// newLatePair starts both nodes. The upstream runs slots requests at once.
+func newLatePair(t *testing.T, slots uint32) *latePair {
+	p := &latePair{
+		testCluster: newTestCluster(t),
+		upstream:    newUpstream(t, "u1"),
+		network:     newLateNetwork(t),
+	}
+	p.door, p.front = p.node("door", p.upstream, nil), p.node("front", nil, nil)
+	p.door.Settings.Self.Slots = slots
+	p.network.join(p.door)
+	p.links = p.network.join(p.front)
+	return p
+}
+
+// open starts the nodes and opens their connection.
+func (p *latePair) open() {
+	p.run(p.door)
+	p.run(p.front)
+	p.awaitReady(p.door, p.front)
+	p.want(p.front, http.MethodGet, "/read/first", http.StatusOK)
+}
+
+// An offer that is on the way for longer than its caller waits must not start.
+func TestOfferPastDeadlineDoesNotStart(t *testing.T) {
+	const (
+		wait = time.Second
+		way  = wait + 600*time.Millisecond
+	)
+	p := newLatePair(t, 2)
+	starts := p.upstream.startsOf("/read/x", respondAfter(0))
+	p.open()
+	p.links.up.setDelay(way)
+	began := time.Now()
+	status, _, _, err := p.request(t.Context(), p.front, http.MethodGet, "/read/x", wait)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := status, http.StatusGatewayTimeout; got != want {
+		t.Errorf("status: got %d, want %d", got, want)
+	}
+	select {
+	case run := <-starts:
+		t.Errorf("start after the deadline: got one after %v, want none", run.at.Sub(began.Add(wait)))
+	case <-time.After(time.Until(began.Add(way + goneWithin))):
+	}
+}
+
+// An attempt that waits for a slot must not start once its caller has left, although the
+// revocation has not arrived.
+func TestQueuedAttemptOfGoneCallerDoesNotStart(t *testing.T) {
+	const (
+		way   = 1500 * time.Millisecond
+		start = goneWithin + 200*time.Millisecond
+	)
+	tests := []struct {
+		name string
+		// hinder makes the revocation late.
+		hinder func(p *latePair)
+	}{
+		{name: "late revocation", hinder: func(p *latePair) { p.links.up.setDelay(way) }},
+		{name: "dead connection", hinder: func(p *latePair) { p.network.hang(way) }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p := newLatePair(t, 1)
+			free := make(chan struct{})
+			starts := p.upstream.startsOf("/read/x", func(_ http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/read/slow" {
+					<-free
+				}
+			})
+			p.open()
+			go func() { _, _, _, _ = p.request(t.Context(), p.door, http.MethodGet, "/read/slow", 3*time.Second) }()
+			p.waitFor("the slot is taken", func() bool { return p.door.load().Running == 1 })
+			ctx, cancel := context.WithCancel(t.Context())
+			go func() {
+				p.waitFor("the attempt waits", func() bool { return p.door.load().Waiting == 1 })
+				test.hinder(p)
+				cancel()
+			}()
+			if _, _, _, err := p.request(ctx, p.front, http.MethodGet, "/read/x", 3*time.Second); err == nil {
+				t.Error("got an answer, want none")
+			}
+			left := time.Now()
+			<-time.After(start)
+			close(free)
+			select {
+			case run := <-starts:
+				t.Errorf("start after the caller left: got one after %v, want none", run.at.Sub(left))
+			case <-time.After(time.Until(left.Add(way + goneWithin))):
+			}
+		})
+	}
+}
+
+// Time on the way must shorten the time that the upstream is handed.
+func TestTimeOnTheWayShortensDeadline(t *testing.T) {
+	const (
+		way  = time.Second
+		wait = 2500 * time.Millisecond
+	)
+	p := newLatePair(t, 2)
+	streams := make(chan struct{})
+	starts := p.upstream.startsOf("/book/x", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/load/x" {
+			return
+		}
+		close(streams)
+		for sleep(r.Context(), 20*time.Millisecond) {
+			_, _ = io.WriteString(w, "more")
+			w.(http.Flusher).Flush()
+		}
+	})
+	p.open()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	// Another answer arrives all the while, so that the connection is not replaced.
+	go func() { _, _, _, _ = p.request(ctx, p.front, http.MethodGet, "/load/x", 3*time.Second) }()
+	<-streams
+	p.links.up.setDelay(way)
+	time.AfterFunc(way/2, func() { p.links.up.setDelay(0) })
+	deadline := time.Now().Add(wait)
+	status, body, _, err := p.request(t.Context(), p.front, http.MethodPost, "/book/x", wait)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := status, http.StatusOK; got != want {
+		t.Fatalf("status: got %d %q, want %d", got, body, want)
+	}
+	run := <-starts
+	if got, want := run.at.Add(run.handed).Sub(deadline), goneWithin; got > want {
+		t.Errorf("handed beyond the deadline: got %v, want at most %v", got, want)
+	}
+}
