Show that a revocation waits behind requests with bodies

All messages of a pair of nodes share one connection and its window of 64 KB. What doesn't fit waits inside the process in turn with the bodies of other requests, so the pacer does not see it and no bound holds for a revocation.

The link of the test passes 1.05 MB/s. 500 requests of 4 KB and more are under way when a caller leaves; its run must be cut within the half second of the rule.

go test ./proxy -run TestRevocationOvertakesBodies -count=1 (three times) end of the run after the caller left: got 2.073726392s, want at most 500ms end of the run after the caller left: got 2.059104332s, want at most 500ms end of the run after the caller left: got 2.087083075s, want at most 500ms with -race, twice: 1.891697971s, 1.912687252s

--- a/proxy/late_test.go
+++ b/proxy/late_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 )
@@ -179,3 +180,53 @@
 		t.Errorf("handed beyond the deadline: got %v, want at most %v", got, want)
 	}
 }
+
+// A revocation must take effect in time although requests with bodies, sent before it, need
+// the link for longer.
+func TestRevocationOvertakesBodies(t *testing.T) {
+	const (
+		rate     = 1.05e6
+		bodySize = 4 << 10
+		requests = 800
+		sending  = 500
+	)
+	p := newLatePair(t, 2*requests)
+	p.front.Settings.LinkRate = rate
+	cut := make(chan time.Time, 1)
+	starts := p.upstream.startsOf("/read/x", func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if r.URL.Path == "/read/x" {
+			<-r.Context().Done()
+			cut <- time.Now()
+		}
+	})
+	p.open()
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		if _, _, _, err := p.request(ctx, p.front, http.MethodGet, "/read/x", 3*time.Second); err == nil {
+			t.Error("got an answer, want none")
+		}
+	}()
+	<-starts
+	p.links.up.setRate(rate)
+	postCtx, stop := context.WithCancel(t.Context())
+	defer stop()
+	body := strings.Repeat("x", bodySize)
+	for range requests {
+		go post(postCtx, p.front, "/book/x", body)
+	}
+	l := p.front.link(p.door.Settings.Self.Control)
+	p.waitFor("the requests are being sent", func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.inFlight > sending
+	})
+	cancel()
+	<-ended
+	left := time.Now()
+	if got, want := (<-cut).Sub(left), goneWithin; got > want {
+		t.Errorf("end of the run after the caller left: got %v, want at most %v", got, want)
+	}
+}
