Record how long revocations take and what links are reset for

Nothing told how long a revocation took, and a link that was reset for a late revocation looked like one reset for a late offer, although such a reset interrupts all other attempts of that pair of nodes.

The metric "revocation" times each one until it is confirmed, the line "revocation-late" names those above 0.4 s, and the reason of "link-reset" says what was not acknowledged.

go test ./proxy -race -run 'TestLateRevocationIsRecorded|TestAwaitReply|TestCancelCause' -count=3 ok github.com/cyclamensaddle/cyclam/proxy 2.565s

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -185,7 +185,7 @@
 		link:   l,
 	}
 	acked := make(chan struct{})
-	go l.awaitReply(sctx, conn, acked, a.ackLimit())
+	go l.awaitReply(sctx, conn, acked, a.ackLimit(), "offer")
 	source.onFirst = func() {
 		close(acked)
 		a.node.noteAcked(a)
--- a/proxy/cancel_test.go
+++ b/proxy/cancel_test.go
@@ -67,3 +67,35 @@
 		t.Errorf("runs cancelled without a reader: got %d, want %d", got, want)
 	}
 }
+
+// The log and the metrics must tell how long a revocation took, and what a link was reset
+// for.
+func TestLateRevocationIsRecorded(t *testing.T) {
+	p := newLatePair(t, 2)
+	starts := p.upstream.startsOf("/read/x", func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/read/x" {
+			<-r.Context().Done()
+		}
+	})
+	lines := &lineBuffer{}
+	p.front.Log = hclog.New(&hclog.LoggerOptions{
+		Output: lines,
+	})
+	p.open()
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-starts
+		p.network.hang(lateRevocation)
+		cancel()
+	}()
+	if _, _, _, err := p.request(ctx, p.front, http.MethodGet, "/read/x", 3*time.Second); err == nil {
+		t.Error("got an answer, want none")
+	}
+	p.waitFor("the revocation is logged", func() bool { return lines.find("revocation-late") != "" })
+	if got, want := p.front.meters.revocation.Count(), int64(1); got != want {
+		t.Errorf("confirmed revocations: got %d, want %d", got, want)
+	}
+	if got, want := lines.find("link-reset"), `reason="no acknowledgement of revocation"`; !strings.Contains(got, want) {
+		t.Errorf("log line: got %q, want it to contain %q", got, want)
+	}
+}
--- a/proxy/link.go
+++ b/proxy/link.go
@@ -252,10 +252,10 @@
 	l.mu.Unlock()
 }
 
-// awaitReply resets conn if nothing is received on the link for limit while a reply is
-// awaited. A connection that delivers other replies is slow rather than dead: closing
+// awaitReply resets conn if nothing is received on the link for limit while the reply to
+// what was sent is awaited. A connection that delivers other replies is slow rather than dead: closing
 // it would interrupt all its attempts, and their answers would be sent again.
-func (l *link) awaitReply(ctx context.Context, conn *grpc.ClientConn, replied <-chan struct{}, limit time.Duration) {
+func (l *link) awaitReply(ctx context.Context, conn *grpc.ClientConn, replied <-chan struct{}, limit time.Duration, sent string) {
 	began := time.Now()
 	for wait := limit; wait > 0; {
 		select {
@@ -273,7 +273,7 @@
 		}
 		wait = limit - time.Since(received)
 	}
-	l.reset(conn, "no acknowledgement")
+	l.reset(conn, "no acknowledgement of "+sent)
 }
 
 // monitor probes the link while it is silent and resets it if nothing is received during
--- a/proxy/meters.go
+++ b/proxy/meters.go
@@ -24,8 +24,10 @@
 	// is the limit that it names.
 	upstreamRequests metrics.Counter
 	rateLimit        metrics.GaugeFloat64
-	requests         metrics.Timer
-	run              metrics.Timer
+	// revocation times revocations until they are confirmed.
+	revocation metrics.Timer
+	requests   metrics.Timer
+	run        metrics.Timer
 }
 
 func newMeters(r metrics.Registry) meters {
@@ -40,6 +42,7 @@
 		discardedUnread:  metrics.GetOrRegisterCounter("answers-discarded-unread", r),
 		upstreamRequests: metrics.GetOrRegisterCounter("upstream-requests", r),
 		rateLimit:        metrics.GetOrRegisterGaugeFloat64("upstream-rate-limit", r),
+		revocation:       metrics.GetOrRegisterTimer("revocation", r),
 		requests:         metrics.GetOrRegisterTimer("request", r),
 		run:              metrics.GetOrRegisterTimer("upstream-run", r),
 	}
--- a/proxy/network_test.go
+++ b/proxy/network_test.go
@@ -192,7 +192,7 @@
 				defer conn.Close()
 				ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 				defer cancel()
-				go l.awaitReply(ctx, conn, nil, limit)
+				go l.awaitReply(ctx, conn, nil, limit, "offer")
 				for range 15 {
 					<-time.After(limit / 3)
 					if test.receives {
--- a/proxy/revoke.go
+++ b/proxy/revoke.go
@@ -13,6 +13,9 @@
 // go on for as long, because an offer may have been delayed on its way.
 const revokeTimeout = time.Second
 
+// lateRevocation is the time from which the confirmation of a revocation is logged as late.
+const lateRevocation = 400 * time.Millisecond
+
 // revoke tells the node in the background that the answer is no longer needed. It retries
 // until the node has confirmed it or the attempt's deadline has passed: the node does not
 // end a run because a connection is lost.
@@ -24,13 +27,19 @@
 		return
 	}
 	a.node.revocations.Add(1)
+	began := time.Now()
 	go func() {
 		defer a.node.revocations.Add(-1)
 		ctx, cancel := context.WithDeadline(context.Background(), a.deadline.Add(revokeTimeout))
 		defer cancel()
 		for failures := 0; ; failures++ {
 			err := a.requestRevoke(ctx)
+			took := time.Since(began)
 			if err == nil {
+				a.node.meters.revocation.Update(took)
+				if took > lateRevocation {
+					a.node.Log.Info("revocation-late", append(a.logFields(), "failures", failures, "took", took)...)
+				}
 				return
 			}
 			if ctx.Err() != nil {
@@ -53,7 +62,7 @@
 		return err
 	}
 	replied := make(chan struct{})
-	go l.awaitReply(ctx, conn, replied, a.ackLimit())
+	go l.awaitReply(ctx, conn, replied, a.ackLimit(), "revocation")
 	_, err = wire.NewDoorClient(conn).Revoke(ctx, &wire.CancelRequest{
 		Attempt:     a.offer.Attempt,
 		Instance:    a.offer.Instance,
