Show that a late link is taken for a dead one

A connection on which a reply is awaited is replaced if nothing arrives for three round trips and 350 ms, for a revocation like for an offer. If messages take longer than that, the new connection is replaced as well, before it is of use: nothing is served to that node any more, and a caller that leaves costs the others their answers.

go test ./proxy -run 'TestLateRevocationSpares|TestLateLinkServes' -count=1 --- FAIL: TestLateRevocationSparesOtherAttempts status: got 504 "deadline-exceeded\n", want 200 --- FAIL: TestLateLinkServes status: got 504 "deadline-exceeded\n", want 200 status: got 504 "deadline-exceeded\n", want 200

--- a/proxy/late_test.go
+++ b/proxy/late_test.go
@@ -230,3 +230,57 @@
 		t.Errorf("end of the run after the caller left: got %v, want at most %v", got, want)
 	}
 }
+
+// A caller that leaves while the link is late must not cost another caller its answer.
+func TestLateRevocationSparesOtherAttempts(t *testing.T) {
+	const (
+		way  = 450 * time.Millisecond
+		work = time.Second
+		wait = 2800 * time.Millisecond
+	)
+	p := newLatePair(t, 2)
+	starts := p.upstream.startsOf("/read/x", func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/read/x":
+			<-r.Context().Done()
+		case "/book/x":
+			respondAfter(work)(w, r)
+		}
+	})
+	p.open()
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { _, _, _, _ = p.request(ctx, p.front, http.MethodGet, "/read/x", wait) }()
+	<-starts
+	go func() {
+		p.waitFor("both run", func() bool { return p.door.load().Running == 2 })
+		p.links.up.setDelay(way)
+		cancel()
+	}()
+	status, body, _, err := p.request(t.Context(), p.front, http.MethodPost, "/book/x", wait)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := status, http.StatusOK; got != want {
+		t.Errorf("status: got %d %q, want %d", got, body, want)
+	}
+}
+
+// A link that is late is not dead: requests whose callers wait for longer must be served.
+func TestLateLinkServes(t *testing.T) {
+	const (
+		way  = 450 * time.Millisecond
+		wait = 2800 * time.Millisecond
+	)
+	p := newLatePair(t, 2)
+	p.open()
+	p.links.up.setDelay(way)
+	for range 2 {
+		status, body, _, err := p.request(t.Context(), p.front, http.MethodPost, "/book/x", wait)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, want := status, http.StatusOK; got != want {
+			t.Errorf("status: got %d %q, want %d", got, body, want)
+		}
+	}
+}
