Count time on the way against a request's deadline

The upstream's node counted the time that an offer states from the offer's arrival, so what the offer spent on the way was added to its deadline, and the upstream was handed too much time.

A node now knows a lower bound of the other nodes' steady clocks: a load carries a reading, and a message that has arrived was read before. It costs no round trip and no clock has to be set. An offer says what the receiver's clock showed at least when it was sent, and the receiver takes its deadline and soft deadline from there. The bound errs towards the past by the fastest message's delay, so no deadline is ever too late by the way; a reading in the future, from a clock that stood still, counts as none. A build without the reading is served as before, and ignores it.

--- /dev/null
+++ b/intent/deadline.go
@@ -0,0 +1,22 @@
+// Package intent holds what the node beside an upstream knows of the wishes of an attempt's
+// sender: until when the sender waits. Package proxy uses it under "cyclamensaddle sidecar".
+//
+// It is designed for links that are full or broken, on which a message may take longer than
+// its sender waits. Time on the way shortens what is left and never adds to it.
+package intent
+
+import "time"
+
+// Deadline returns when the sender of an offer that is received now stops waiting, given
+// what it would still wait when it sent the offer. If sentAt is zero or in the future, the
+// time on the way is not known, and the deadline may be too late by it.
+func Deadline(now, sentAt time.Time, remaining time.Duration) time.Time {
+	if !known(now, sentAt) {
+		sentAt = now
+	}
+	return sentAt.Add(remaining)
+}
+
+// known reports whether a time by another process's message can be right. Its clock may
+// have stood still while its machine was suspended.
+func known(now, at time.Time) bool { return !at.IsZero() && !at.After(now) }
--- /dev/null
+++ b/intent/deadline_test.go
@@ -0,0 +1,37 @@
+package intent
+
+import (
+	"testing"
+	"time"
+)
+
+func TestDeadline(t *testing.T) {
+	const remaining = time.Second
+	tests := []struct {
+		name   string
+		sentAt time.Time
+		want   time.Time
+	}{
+		{
+			name:   "time on the way is taken off",
+			sentAt: epoch.Add(-300 * time.Millisecond),
+			want:   epoch.Add(700 * time.Millisecond),
+		},
+		{
+			name: "not known",
+			want: epoch.Add(remaining),
+		},
+		{
+			name:   "in the future",
+			sentAt: epoch.Add(time.Minute),
+			want:   epoch.Add(remaining),
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if got := Deadline(epoch, test.sentAt, remaining); !got.Equal(test.want) {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -23,7 +23,8 @@
 	target  picker.Candidate
 	offer   *wire.Offer
 	results chan<- result
-	// deadline is the call's deadline.
+	// goal and deadline are those of the call.
+	goal     time.Time
 	deadline time.Time
 	// started is set once the upstream may have started to work.
 	started bool
@@ -52,8 +53,6 @@
 	o.Instance = string(target.Endpoint.Instance)
 	o.Incarnation = uint64(target.Endpoint.Incarnation)
 	o.Service = string(c.service)
-	o.RemainingUs = c.deadline.Sub(now).Microseconds()
-	o.GoalUs = c.goal.Sub(now).Microseconds()
 	o.Version = uint64(c.version)
 	c.node.mu.Lock()
 	o.Notice = c.node.fleet.noticeFor(target.Endpoint.Instance, now)
@@ -106,7 +105,6 @@
 		}
 		// The node has the request, or refuses the attempt.
 		a.offer.Resume, a.offer.Body, a.offer.Headers = true, nil, nil
-		a.offer.RemainingUs = time.Until(a.deadline).Microseconds()
 		select {
 		case <-ctx.Done():
 		case <-time.After(resumePause):
@@ -137,6 +135,7 @@
 
 // runLocal runs the attempt at the local upstream.
 func (a *attempt) runLocal(ctx context.Context) (cyclam.Completion, *answerRest) {
+	a.stamp(time.Now())
 	j, final := a.node.admit(a.offer)
 	if final != nil {
 		v, _, _ := a.collect(ctx, &singleReply{
@@ -175,6 +174,7 @@
 		cancel()
 		l.endAttempt()
 	}
+	a.stamp(time.Now())
 	stream, err := wire.NewDoorClient(conn).Serve(sctx, a.offer)
 	if err != nil {
 		finish()
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -246,6 +246,7 @@
 			target:       target,
 			offer:        offer,
 			results:      results,
+			goal:         c.goal,
 			deadline:     c.deadline,
 			held:         &c.held,
 			suspectAfter: c.suspectAfter(),
--- a/proxy/fleet.go
+++ b/proxy/fleet.go
@@ -6,6 +6,7 @@
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/intent"
 	"github.com/cyclamensaddle/cyclam/picker"
 	"github.com/cyclamensaddle/cyclam/wire"
 )
@@ -17,6 +18,8 @@
 	at cyclam.Position
 	// unacked holds when the attempts were sent that the node has not acknowledged.
 	unacked map[*attempt]time.Time
+	// clock is what is known of the node's steady clock.
+	clock intent.Clock
 	// spokeAt is the time of the last message of the node about itself.
 	spokeAt time.Time
 	// failures is the number of consecutive failed connects; unreachableSince is the
@@ -100,6 +103,7 @@
 			FirstAt: now.Add(picker.FirstAttemptDelay(len(f.members), rand.IntN)),
 		}
 		m.failures = 0
+		m.clock = intent.Clock{}
 	}
 	if e.State == cyclam.EndpointReady && m.view.Endpoint.State != cyclam.EndpointReady {
 		m.view.Load.Leaving = false
@@ -192,10 +196,14 @@
 		delete(n.fleet.store.ended, m.view.Endpoint.Identity)
 		m.view.Endpoint.Sequence = 0
 		m.view.Endpoint.State = cyclam.EndpointReady
+		m.clock = intent.Clock{}
 		n.Log.Info("node-restarted", "peer", name, "incarnation", inc)
 		go n.link(m.view.Endpoint.Control).resync()
 	}
 	m.view.LoadAt = time.Now()
+	if l.Incarnation != 0 {
+		m.noteClock(l, m.view.LoadAt)
+	}
 	m.spokeAt = m.view.LoadAt
 	m.view.InFlight = 0
 	m.failures = 0
--- a/proxy/job.go
+++ b/proxy/job.go
@@ -14,11 +14,14 @@
 // job is one attempt at the local upstream. Its replies are kept as a log, which the
 // sender can read again from the start after its connection broke.
 type job struct {
-	offer    *wire.Offer
-	attempt  cyclam.AttemptID
-	arrived  time.Time
+	offer   *wire.Offer
+	attempt cyclam.AttemptID
+	arrived time.Time
+	// deadline is when the sender stops waiting, as far as is known. It is guarded by
+	// Node.schedMu and does not change once the job runs.
 	deadline time.Time
-	ctx      context.Context
+	// ctx ends with the run. It is replaced when the run starts.
+	ctx context.Context
 	// cancel ends the run with a cause, which is logged.
 	cancel context.CancelCauseFunc
 
@@ -72,22 +75,28 @@
 var errNotRetained = errors.New("start of the answer is no longer buffered")
 
 func newJob(ctx context.Context, offer *wire.Offer, attempt cyclam.AttemptID, now time.Time) *job {
-	remaining := time.Duration(offer.RemainingUs) * time.Microsecond
 	j := &job{
 		offer:    offer,
 		attempt:  attempt,
 		arrived:  now,
-		deadline: now.Add(remaining),
+		deadline: now.Add(time.Duration(offer.RemainingUs) * time.Microsecond),
 		wake:     make(chan struct{}),
 		readers:  map[*jobCursor]bool{},
 	}
-	ctx, stopTimer := context.WithDeadline(ctx, j.deadline)
-	ctx, cancel := context.WithCancelCause(ctx)
+	j.ctx, j.cancel = context.WithCancelCause(ctx)
+	return j
+}
+
+// start begins the run, which ends at the deadline at the latest. The caller holds
+// Node.schedMu.
+func (j *job) start() {
+	ctx, stopTimer := context.WithDeadline(j.ctx, j.deadline)
+	cancel := j.cancel
 	j.ctx, j.cancel = ctx, func(cause error) {
 		cancel(cause)
 		stopTimer()
 	}
-	return j
+	j.append(&wire.Reply{Kind: &wire.Reply_Started{Started: &wire.Started{}}}, false)
 }
 
 // append adds a reply to the log; last marks the final one, with which the request is
--- a/proxy/load.go
+++ b/proxy/load.go
@@ -121,6 +121,7 @@
 		if !ok || m.view.Endpoint.Incarnation != cyclam.Incarnation(r.GetLoad().GetIncarnation()) {
 			continue
 		}
+		m.noteClock(r.GetLoad(), now)
 		at := now.Add(-max(0, time.Duration(r.GetAgeUs())*time.Microsecond))
 		if at.After(m.view.LoadAt) {
 			m.view.Load = decodeLoad(r.GetLoad())
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -7,6 +7,7 @@
 
 	cyclam "github.com/cyclamensaddle/cyclam"
 	"github.com/cyclamensaddle/cyclam/codec"
+	"github.com/cyclamensaddle/cyclam/intent"
 	"github.com/cyclamensaddle/cyclam/origin"
 	"github.com/cyclamensaddle/cyclam/sched"
 	"github.com/cyclamensaddle/cyclam/wire"
@@ -31,7 +32,7 @@
 			continue
 		}
 		if d.Start {
-			j.append(&wire.Reply{Kind: &wire.Reply_Started{Started: &wire.Started{}}}, false)
+			j.start()
 			go n.run(j)
 			continue
 		}
@@ -83,9 +84,11 @@
 	}
 	now := time.Now()
 	n.acceptNotice(offer.Notice, now)
+	sentAt := n.timeOf(offer.SentUs)
 	j := newJob(context.Background(), offer, attempt, now)
+	j.deadline = intent.Deadline(now, sentAt, microseconds(offer.RemainingUs))
 	j.memory = &n.answers
-	goal := now.Add(time.Duration(offer.GoalUs) * time.Microsecond)
+	goal := intent.Deadline(now, sentAt, microseconds(offer.GoalUs))
 	if bytes := int(n.answerBytes[offer.Route]); bytes >= largeAnswerBytes {
 		ok, after := n.pacer.commit(now, n.scheduler.ServiceTime(), bytes, goal, j.deadline)
 		if !ok {
@@ -111,6 +114,9 @@
 	return j, nil
 }
 
+// microseconds returns a duration of a message.
+func microseconds(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
+
 // isRunning reports whether the local upstream is running a request with this id.
 func (n *Node) isRunning(id string) bool {
 	if id == "" {
@@ -316,5 +322,7 @@
 	l.Leaving = l.Leaving || n.closedToPeers(now)
 	l.Version = n.version()
 	l.SendBacklog, l.LinkRate = n.pacer.backlog(now), n.Settings.LinkRate
-	return encodeLoad(l, n.self.Incarnation, notice.encode(now))
+	w := encodeLoad(l, n.self.Incarnation, notice.encode(now))
+	w.ClockUs = n.clock(now)
+	return w
 }
