Start an attempt only on a recent word of its sender

A waiting attempt started on what its sender had said when it sent the offer. Once a caller had left, only the revocation's arrival kept the request from the upstream; behind a full or broken link it came up to a second late (GONE).

What is known of a sender's wish is now dated, in the receiver's own clock, and a start needs a word that is at most 0.4 s old: half a second of the rule, less the 0.1 s for which a caller's node may be throttled. A queued attempt that may start soon and whose word is older than 0.15 s makes the node ask its sender (Question on the reply stream, Door.Confirm as the answer). Until the answer is there the attempt is passed over and holds no slot; the answer also tells the deadline, so it works where the clocks are not known to each other. No start depends on how soon a revocation arrives. Senders of a build without questions are served as before.

A model joins them and the scheduler with messages that are delayed by up to 3 s, reordered and lost: no start later than half a second after the caller has left, none past the sender's deadline, none after a refusal. A second one holds that attempts start within a round trip where nothing is late.

--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,7 @@
 fuzz:
 	@echo "seed $(SEED)"
 	go test ./simnet ./budget -timeout 60m -rapid.checks=$(CHECKS) -rapid.seed=$(SEED)
+	go test ./intent -timeout 60m -run 'Model$$' -rapid.checks=$(CHECKS) -rapid.seed=$(SEED)
 	go test ./proxy -timeout 60m -run 'Model$$' -rapid.checks=$(CHECKS) -rapid.seed=$(SEED)
 	for target in FuzzSettings FuzzConfig FuzzNews FuzzAnswer; do \
 		go test ./platform -run xxx -fuzz "^$$target\$$" -fuzztime 20s || exit 1; done
--- a/intent/deadline.go
+++ b/intent/deadline.go
@@ -1,8 +1,12 @@
 // Package intent holds what the node beside an upstream knows of the wishes of an attempt's
-// sender: until when the sender waits. Package proxy uses it under "cyclamensaddle sidecar".
+// sender: until when the sender waits, and when it is known to have wanted the attempt. It
+// decides from that whether an attempt may start and when its sender has to be asked.
+// Package proxy uses it under "cyclamensaddle sidecar".
 //
-// It is designed for links that are full or broken, on which a message may take longer than
-// its sender waits. Time on the way shortens what is left and never adds to it.
+// It is designed for links that are full or broken: a message may take longer than its
+// sender waits, and a revocation may be behind it. A start therefore rests on what the
+// sender is known to have wanted shortly before, never on a revocation that has not arrived.
+// Time on the way shortens what is left and never adds to it.
 package intent
 
 import "time"
--- a/outcome.go
+++ b/outcome.go
@@ -47,6 +47,9 @@
 	ReasonCancelled        Reason = "cancelled"
 	ReasonUpstreamDown     Reason = "upstream-down"
 	ReasonAnswerLost       Reason = "answer-lost"
+	// ReasonUnconfirmed means that the sender could not be asked in time whether it still
+	// wants the attempt.
+	ReasonUnconfirmed Reason = "unconfirmed"
 	// ReasonUpstreamRefused means that the upstream itself refused the request.
 	ReasonUpstreamRefused   Reason = "refused-by-upstream"
 	ReasonBudget            Reason = "retry-budget-spent"
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -26,6 +26,8 @@
 	// goal and deadline are those of the call.
 	goal     time.Time
 	deadline time.Time
+	// answer answers a question of the node.
+	answer func(*wire.Question)
 	// started is set once the upstream may have started to work.
 	started bool
 	// accepted is set once the node has acknowledged the offer.
@@ -53,6 +55,7 @@
 	o.Instance = string(target.Endpoint.Instance)
 	o.Incarnation = uint64(target.Endpoint.Incarnation)
 	o.Service = string(c.service)
+	o.AnswersQuestions = target.Endpoint.Identity != c.node.self
 	o.Version = uint64(c.version)
 	c.node.mu.Lock()
 	o.Notice = c.node.fleet.noticeFor(target.Endpoint.Instance, now)
@@ -174,8 +177,9 @@
 		cancel()
 		l.endAttempt()
 	}
+	client := wire.NewDoorClient(conn)
 	a.stamp(time.Now())
-	stream, err := wire.NewDoorClient(conn).Serve(sctx, a.offer)
+	stream, err := client.Serve(sctx, a.offer)
 	if err != nil {
 		finish()
 		return cyclam.Completion{}, nil, err
@@ -184,6 +188,7 @@
 		stream: stream,
 		link:   l,
 	}
+	a.answer = func(q *wire.Question) { go a.confirm(sctx, client, q) }
 	acked := make(chan struct{})
 	go l.awaitReply(sctx, conn, acked, a.ackLimit(), "offer")
 	source.onFirst = func() {
@@ -260,6 +265,10 @@
 		a.accepted = true
 	case *wire.Reply_Started:
 		a.started = true
+	case *wire.Reply_Question:
+		if a.answer != nil {
+			a.answer(k.Question)
+		}
 	case *wire.Reply_Declined:
 		return cyclam.Refused(cyclam.Reason(k.Declined.Reason), time.Duration(k.Declined.RetryAfterUs)*time.Microsecond), true
 	case *wire.Reply_Head:
--- a/proxy/job.go
+++ b/proxy/job.go
@@ -41,8 +41,10 @@
 	// committed is the bytes of the answer that are committed on the link's pacer and
 	// not yet sent.
 	committed int
-	ended     bool
-	endedAt   time.Time
+	// question is the last question to the sender.
+	question *wire.Question
+	ended    bool
+	endedAt  time.Time
 	// readAt is when a reader had passed on the last reply; its connection may have lost
 	// it. settled is set once no reader needs the replies any more: the sender is on this
 	// node or has revoked the attempt.
@@ -59,6 +61,8 @@
 	// has passed on.
 	next   int
 	passed int
+	// question is the last question that the stream has passed on.
+	question *wire.Question
 }
 
 // answerBufferLimit is the most bytes of an answer that are buffered for reading again,
@@ -99,6 +103,14 @@
 	j.append(&wire.Reply{Kind: &wire.Reply_Started{Started: &wire.Started{}}}, false)
 }
 
+// ask puts a question to the sender, in place of an earlier one.
+func (j *job) ask(q *wire.Question) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.question = q
+	j.signal()
+}
+
 // append adds a reply to the log; last marks the final one, with which the request is
 // released. Replies after the final one are ignored.
 func (j *job) append(reply *wire.Reply, last bool) {
@@ -208,9 +220,13 @@
 			j.mu.Unlock()
 			return nil, errNotRetained
 		}
-		if index < len(j.log) {
+		if asked := j.question != r.question && !j.ended; asked || index < len(j.log) {
 			ready := slices.Clone(j.log[index:min(len(j.log), index+batchLimit)])
 			r.next += len(ready)
+			if asked {
+				ready = append(ready, &wire.Reply{Kind: &wire.Reply_Question{Question: j.question}})
+			}
+			r.question = j.question
 			j.mu.Unlock()
 			return ready, nil
 		}
--- a/proxy/meters.go
+++ b/proxy/meters.go
@@ -20,6 +20,8 @@
 	cancelledRevoked metrics.Counter
 	cancelledUnread  metrics.Counter
 	discardedUnread  metrics.Counter
+	// questions counts the questions to senders whether an attempt is still wanted.
+	questions metrics.Counter
 	// upstreamRequests counts the requests that were sent to the own upstream; rateLimit
 	// is the limit that it names.
 	upstreamRequests metrics.Counter
@@ -40,6 +42,7 @@
 		cancelledRevoked: metrics.GetOrRegisterCounter("runs-cancelled-revoked", r),
 		cancelledUnread:  metrics.GetOrRegisterCounter("runs-cancelled-unread", r),
 		discardedUnread:  metrics.GetOrRegisterCounter("answers-discarded-unread", r),
+		questions:        metrics.GetOrRegisterCounter("senders-asked", r),
 		upstreamRequests: metrics.GetOrRegisterCounter("upstream-requests", r),
 		rateLimit:        metrics.GetOrRegisterGaugeFloat64("upstream-rate-limit", r),
 		revocation:       metrics.GetOrRegisterTimer("revocation", r),
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -113,6 +113,22 @@
 	}, nil
 }
 
+// Confirm records that the sender of an attempt still wants it.
+func (p *peerServer) Confirm(_ context.Context, c *wire.Confirmation) (*wire.ConfirmationReply, error) {
+	attempt, err := codec.DecodeAttempt(c.Attempt)
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	target := cyclam.Identity{
+		Instance:    cyclam.InstanceName(c.Instance),
+		Incarnation: cyclam.Incarnation(c.Incarnation),
+	}
+	if target == p.node.self {
+		p.node.noteWord(attempt, c)
+	}
+	return &wire.ConfirmationReply{}, nil
+}
+
 // Exchange merges the other node's knowledge and returns what that node lacks. While
 // this node is not ready, it asks for the whole fleet.
 func (p *peerServer) Exchange(_ context.Context, k *wire.Knowledge) (*wire.Knowledge, error) {
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -31,7 +31,14 @@
 		if !ok {
 			continue
 		}
-		if d.Start {
+		switch {
+		case d.Ask:
+			n.meters.questions.Inc(1)
+			j.ask(&wire.Question{
+				AskedUs: n.clock(time.Now()),
+			})
+			continue
+		case d.Start:
 			j.start()
 			go n.run(j)
 			continue
@@ -65,6 +72,7 @@
 		Incarnation: cyclam.Incarnation(offer.Incarnation),
 	}
 	if j, known := n.jobs[attempt]; known {
+		n.noteWordLocked(j, n.timeOf(offer.SentUs), microseconds(offer.RemainingUs))
 		return j, nil
 	}
 	switch {
@@ -109,6 +117,7 @@
 			Arrived:      now,
 			SoftDeadline: goal,
 			Deadline:     j.deadline,
+			Word:         n.wordOf(offer, now, sentAt),
 		})
 	})
 	return j, nil
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -130,18 +130,24 @@
 			decisions = append(decisions, refuse(w.Attempt, cyclam.ReasonDeadlineExceeded, 0))
 			continue
 		}
-		next, ok := s.start(now, w)
-		s = next
-		if ok {
-			decisions = append(decisions, started(w.Attempt))
-			continue
+		if w.Word.Allows(now) {
+			next, ok := s.start(now, w)
+			s = next
+			if ok {
+				decisions = append(decisions, started(w.Attempt))
+				continue
+			}
 		}
 		ahead := len(kept)
 		end := now.Add(s.expectedWait(now, ahead) + s.expectedServiceTime(w.Route))
 		if end.After(s.latestEnd(now, w)) || s.queuedTooLong(now, w) {
-			decisions = append(decisions, refuse(w.Attempt, s.shortage(now), s.retryAfter(now, ahead)))
+			decisions = append(decisions, refuse(w.Attempt, s.shortage(now, w), s.retryAfter(now, ahead)))
 			continue
 		}
+		if ahead < s.limit(now) && w.Word.AskDue(now) {
+			w.Word = w.Word.WithQuestion(now)
+			decisions = append(decisions, ask(w.Attempt))
+		}
 		kept = append(kept, w)
 	}
 	s.queue = kept
@@ -171,11 +177,15 @@
 }
 
 // shortage returns the reason for refusing work that can't start in time.
-func (s State) shortage(now time.Time) cyclam.Reason {
-	if s.running < s.limit(now) {
+func (s State) shortage(now time.Time, w Work) cyclam.Reason {
+	switch {
+	case s.running >= s.limit(now):
+		return cyclam.ReasonOverloaded
+	case !w.Word.Allows(now):
+		return cyclam.ReasonUnconfirmed
+	default:
 		return cyclam.ReasonRateLimited
 	}
-	return cyclam.ReasonOverloaded
 }
 
 // expectedWait returns the expected time until work with ahead others before it in the
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -10,8 +10,9 @@
 // deadline goes first), an upstream that hangs or slows down when it is full (it
 // never gets more than its slots), an upstream that names a rate limit (attempts start at
 // that rate, divided among senders and urgencies, and what it leaves no room for is
-// refused at once), and requests made by running work (they go first, because the work that waits
-// for them holds a slot at another upstream).
+// refused at once), requests made by running work (they go first, because the work that waits
+// for them holds a slot at another upstream), and callers that leave while their work waits
+// (work whose sender has not been heard for too long is passed over until it has been asked).
 package sched
 
 import (
@@ -20,6 +21,7 @@
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/intent"
 )
 
 // Tuning holds the limits of one upstream.
@@ -44,13 +46,17 @@
 	// SoftDeadline is when the answer is wanted; after Deadline it is of no use.
 	SoftDeadline time.Time
 	Deadline     time.Time
+	// Word is what is known of the sender's wish.
+	Word intent.Word
 }
 
 // Decision is the result of scheduling for one attempt.
 type Decision struct {
 	Attempt cyclam.AttemptID
-	// Start is set if the attempt is to run. Otherwise it is refused for Reason,
-	// and the caller may retry after RetryAfter.
+	// Ask is set if the attempt stays queued and its sender is to be asked whether it is
+	// still wanted. Otherwise Start is set if the attempt is to run; if not, it is refused
+	// for Reason, and the caller may retry after RetryAfter.
+	Ask        bool
 	Start      bool
 	Reason     cyclam.Reason
 	RetryAfter time.Duration
@@ -219,7 +225,7 @@
 		return s, []Decision{refuse(w.Attempt, cyclam.ReasonDeadlineExceeded, 0)}
 	}
 	s.rate = s.rate.withArrival(now, w)
-	if len(s.queue) == 0 {
+	if len(s.queue) == 0 && w.Word.Allows(now) {
 		if next, ok := s.start(now, w); ok {
 			return next, []Decision{started(w.Attempt)}
 		}
@@ -328,6 +334,11 @@
 	return s.serviceTime
 }
 
+// Queued reports whether an attempt waits for a slot.
+func (s State) Queued(attempt cyclam.AttemptID) bool {
+	return slices.ContainsFunc(s.queue, func(w Work) bool { return w.Attempt == attempt })
+}
+
 // Withdraw removes an attempt from the queue; false means that it is not queued.
 func (s State) Withdraw(attempt cyclam.AttemptID) (State, bool) {
 	i := slices.IndexFunc(s.queue, func(w Work) bool { return w.Attempt == attempt })
@@ -338,6 +349,22 @@
 	return s, true
 }
 
+// Confirm applies a message by which the sender of an attempt wanted it at a time and waits
+// until a deadline.
+func (s State) Confirm(now time.Time, attempt cyclam.AttemptID, wantedAt, deadline time.Time) (State, []Decision) {
+	i := slices.IndexFunc(s.queue, func(w Work) bool { return w.Attempt == attempt })
+	if i < 0 {
+		return s, nil
+	}
+	s.queue = slices.Clone(s.queue)
+	w := &s.queue[i]
+	w.Word = w.Word.With(now, wantedAt)
+	if deadline.Before(w.Deadline) {
+		w.Deadline = deadline
+	}
+	return s.dispatch(now)
+}
+
 // Tick refuses queued work that can no longer end in time and starts work in free
 // slots.
 func (s State) Tick(now time.Time) (State, []Decision) {
@@ -355,6 +382,13 @@
 	}
 }
 
+func ask(attempt cyclam.AttemptID) Decision {
+	return Decision{
+		Attempt: attempt,
+		Ask:     true,
+	}
+}
+
 func refuse(attempt cyclam.AttemptID, reason cyclam.Reason, retryAfter time.Duration) Decision {
 	return Decision{
 		Attempt:    attempt,
