Let requests with bodies wait for their turn on the link

A caller left, and its run went on for 2 s: the revocation stood behind requests with bodies that had been written to the same connection at once. The pacer counted them, but only large answers waited; what did not fit into a connection's window waited inside the process, where nothing can overtake it.

A body of 1 KB and more is now reserved on the pacer and written when its turn comes, so that the link's own queue and the connection's hold 30 ms at most, whatever waits; what is small goes at once. A request that can't be sent before its deadline is refused at once, with the time until the link has room, as it has not left the node. What the node writes to other nodes as a server counts as well, and what is reserved is not counted twice.

The test's set-up now waits for the number of callers in flight, as requests that wait are not in flight on the link yet; its load and its bound are the same.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -70,6 +70,10 @@
 		a.report(a.runLocal(ctx))
 		return
 	}
+	if refused, ok := a.awaitTurn(ctx); !ok {
+		a.report(refused, nil)
+		return
+	}
 	a.node.noteSent(a)
 	defer a.node.noteAcked(a)
 	began := time.Now()
@@ -115,6 +119,24 @@
 	}
 }
 
+// awaitTurn waits until the node's link has room for the request's body. It returns false
+// and the completion of an attempt that is not sent, because it would be too late.
+func (a *attempt) awaitTurn(ctx context.Context) (cyclam.Completion, bool) {
+	bytes := len(a.offer.Body)
+	if bytes < bulkBytes {
+		return cyclam.Completion{}, true
+	}
+	wait, ok := a.node.pacer.prepayBy(bytes, a.deadline)
+	switch {
+	case !ok:
+		return cyclam.Refused(cyclam.ReasonOverloaded, wait), false
+	case wait > 0 && !sleep(ctx, wait):
+		return cyclam.Refused(cyclam.ReasonDeadlineExceeded, 0), false
+	default:
+		return cyclam.Completion{}, true
+	}
+}
+
 func (a *attempt) report(completion cyclam.Completion, rest *answerRest) {
 	a.results <- result{
 		target:     a.target,
--- a/proxy/late_test.go
+++ b/proxy/late_test.go
@@ -217,12 +217,7 @@
 	for range requests {
 		go post(postCtx, p.front, "/book/x", body)
 	}
-	l := p.front.link(p.door.Settings.Self.Control)
-	p.waitFor("the requests are being sent", func() bool {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		return l.inFlight > sending
-	})
+	p.waitFor("the requests are being sent", func() bool { return p.front.callersInFlight.Load() > sending })
 	cancel()
 	<-ended
 	left := time.Now()
--- a/proxy/pacer.go
+++ b/proxy/pacer.go
@@ -22,6 +22,9 @@
 	// largeAnswerBytes is the size from which an answer is paced. Nearly all answers
 	// other than downloads are smaller.
 	largeAnswerBytes = 24 << 10
+	// bulkBytes is the size from which a request's body waits for its turn on the link, so
+	// that revocations and other small messages don't wait behind it.
+	bulkBytes = 1 << 10
 )
 
 // linkPacer limits the rate at which answers are sent on the machine's link.
@@ -30,6 +33,8 @@
 	state pace.State
 	// committed is the bytes of accepted large answers that are not sent yet.
 	committed int
+	// prepaid is the bytes that are reserved and will be written to other nodes.
+	prepaid int
 }
 
 // backlog returns how long the link needs to send what has been accepted.
@@ -68,14 +73,49 @@
 	return wait
 }
 
+// prepayBy is like prepay for bytes that are of use only before a deadline. It returns false
+// and counts nothing if they can't be written by then.
+func (p *linkPacer) prepayBy(bytes int, deadline time.Time) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	state, wait := p.state.Reserve(now, bytes)
+	if wait > 0 && !now.Add(wait).Before(deadline) {
+		return wait, false
+	}
+	p.state = state
+	p.prepaid += bytes
+	return wait, true
+}
+
+// prepay counts bytes that will be written to another node and returns how long to wait
+// before that.
+func (p *linkPacer) prepay(bytes int) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	state, wait := p.state.Reserve(time.Now(), bytes)
+	p.state = state
+	p.prepaid += bytes
+	return wait
+}
+
+// countWritten counts bytes that are written to another node, unless they are prepaid.
+func (p *linkPacer) countWritten(bytes int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	used := min(p.prepaid, bytes)
+	p.prepaid -= used
+	p.state, _ = p.state.Reserve(time.Now(), bytes-used)
+}
+
 // waitTurn reserves bytes and blocks until they may be sent; false means that ctx ended.
 func (p *linkPacer) waitTurn(ctx context.Context, bytes int) bool {
 	wait := p.reserve(bytes)
 	return wait <= 0 || sleep(ctx, wait)
 }
 
-// pacedConn counts what is written to another node on the pacer, so that large answers
-// leave room for it on the link. It does not delay the writes.
+// pacedConn counts what is written to another node on the pacer, so that what waits for its
+// turn leaves room for it on the link. It does not delay the writes.
 type pacedConn struct {
 	net.Conn
 
@@ -84,10 +124,29 @@
 
 // Write writes data at once.
 func (c *pacedConn) Write(data []byte) (int, error) {
-	c.pacer.reserve(len(data))
+	c.pacer.countWritten(len(data))
 	return c.Conn.Write(data)
 }
 
+// pacedListener accepts connections from other nodes.
+type pacedListener struct {
+	net.Listener
+
+	pacer *linkPacer
+}
+
+// Accept waits for the next connection.
+func (l *pacedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &pacedConn{
+		Conn:  conn,
+		pacer: l.pacer,
+	}, nil
+}
+
 // splitChunks divides the replies of a large answer into messages that carry at
 // most chunkSize bytes of the body each.
 func splitChunks(replies []*wire.Reply, large bool) [][]*wire.Reply {
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -34,7 +34,10 @@
 		node: n,
 	})
 	group.Go(func() error {
-		return cyclam.AtStep("serve other nodes", listener.Addr().String(), n.peers.Serve(listener))
+		return cyclam.AtStep("serve other nodes", listener.Addr().String(), n.peers.Serve(&pacedListener{
+			Listener: listener,
+			pacer:    &n.pacer,
+		}))
 	})
 	group.Go(func() error {
 		<-ctx.Done()
@@ -73,7 +76,7 @@
 		sent += bodySize(ready)
 		for _, part := range splitChunks(ready, sent >= largeAnswerBytes) {
 			n.pacer.uncommit(j.uncommit(bodySize(part)))
-			if wait := n.pacer.reserve(bodySize(part)); sent >= largeAnswerBytes && !sleep(stream.Context(), wait) {
+			if wait := n.pacer.prepay(bodySize(part)); sent >= largeAnswerBytes && !sleep(stream.Context(), wait) {
 				return stream.Context().Err()
 			}
 			if err := stream.Send(n.batch(part)); err != nil {
