Replace a silent connection only if another one delivers a reply

Where messages between two nodes took longer than three round trips and 350 ms, nothing was served between them any more, and a caller that left cost others their answers (504): silence was taken for a dead connection, which was closed with all its attempts. The new connection was as late and was closed as well, and each one sent answers and knowledge again over the link that was full.

Lateness does not tell a full link from a dead connection; a second connection does. A connection on which a reply is overdue and no byte arrives is now suspected: another one is opened beside it and asked. If the silent one receives anything first, it stays and the other is closed; if the other one delivers a reply first, it takes over, and the attempts resume on it. If neither does, nothing is closed. What counts as received are bytes, not whole messages. Attempts whose node is silent are reported as suspect as before, so that repeatable ones may be sent to another node.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
@@ -36,9 +37,10 @@
 	leaving bool
 	// held counts the memory of what is received for the call.
 	held *heldAnswers
-	// suspectAfter is the number of interruptions after which the attempt is reported
-	// as suspect.
-	suspectAfter int
+	// disturbances counts the interruptions of the link and the times that it was silent.
+	// After suspectAfter of them the attempt is reported as suspect.
+	disturbances atomic.Int32
+	suspectAfter int32
 }
 
 // resumePause is the pause before an interrupted attempt is resumed.
@@ -77,7 +79,7 @@
 	a.node.noteSent(a)
 	defer a.node.noteAcked(a)
 	began := time.Now()
-	interruptions := 0
+	interrupted := false
 	for {
 		completion, rest, err := a.runRemote(ctx, began)
 		if err == nil {
@@ -98,18 +100,11 @@
 			a.report(unknown(cyclam.ReasonDeadlineExceeded), nil)
 			return
 		}
-		interruptions++
-		if interruptions == 1 {
-			a.started = true
-			a.node.markUnreachable(a.target.Endpoint.Instance)
+		if !interrupted {
+			interrupted, a.started = true, true
 			a.node.Log.Warn("attempt-interrupted", append(a.logFields(), "error", err)...)
 		}
-		if interruptions == a.suspectAfter {
-			a.results <- result{
-				target:  a.target,
-				suspect: true,
-			}
-		}
+		a.noteDisturbance()
 		// The node has the request, or refuses the attempt.
 		a.offer.Resume, a.offer.Body, a.offer.Headers = true, nil, nil
 		select {
@@ -119,6 +114,21 @@
 	}
 }
 
+// noteDisturbance records that the link was interrupted or is silent: the node is avoided,
+// and another one may be tried as well.
+func (a *attempt) noteDisturbance() {
+	count := a.disturbances.Add(1)
+	if count == 1 {
+		a.node.markUnreachable(a.target.Endpoint.Instance)
+	}
+	if count == a.suspectAfter {
+		a.results <- result{
+			target:  a.target,
+			suspect: true,
+		}
+	}
+}
+
 // awaitTurn waits until the node's link has room for the request's body. It returns false
 // and the completion of an attempt that is not sent, because it would be too late.
 func (a *attempt) awaitTurn(ctx context.Context) (cyclam.Completion, bool) {
@@ -193,11 +203,11 @@
 	if err != nil {
 		return cyclam.Completion{}, nil, err
 	}
-	l.beginAttempt()
+	l.beginAttempt(a, a.noteDisturbance)
 	sctx, cancel := context.WithCancel(ctx)
 	finish := func() {
 		cancel()
-		l.endAttempt()
+		l.endAttempt(a)
 	}
 	client := wire.NewDoorClient(conn)
 	a.stamp(time.Now())
@@ -208,11 +218,10 @@
 	}
 	source := &linkReader{
 		stream: stream,
-		link:   l,
 	}
 	a.answer = func(q *wire.Question) { go a.confirm(sctx, client, q) }
 	acked := make(chan struct{})
-	go l.awaitReply(sctx, conn, acked, a.ackLimit(), "offer")
+	go l.awaitReply(sctx, conn, acked, a.ackLimit(), "offer", a.noteDisturbance)
 	source.onFirst = func() {
 		close(acked)
 		a.node.noteAcked(a)
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -256,10 +256,10 @@
 	return true
 }
 
-// suspectAfter returns how many interruptions make an attempt suspect, so that
+// suspectAfter returns how many disturbances make an attempt suspect, so that
 // another node may be tried as well. Downloads get one more, because a second copy
 // of a large answer would fill the same links.
-func (c *call) suspectAfter() int {
+func (c *call) suspectAfter() int32 {
 	if c.route.Kind == cyclam.RouteDownload {
 		return 2
 	}
--- a/proxy/meters.go
+++ b/proxy/meters.go
@@ -14,6 +14,8 @@
 	hedges      metrics.Counter
 	budgetSpent metrics.Counter
 	resets      metrics.Counter
+	// linkTrials counts the connections that were tried beside a silent one and not used.
+	linkTrials metrics.Counter
 	// cancelledRevoked and cancelledUnread count the runs cancelled by their sender and
 	// for lack of a reader; discardedUnread counts the answers discarded before a reader
 	// had read them.
@@ -39,6 +41,7 @@
 		hedges:           metrics.GetOrRegisterCounter("attempts-hedged", r),
 		budgetSpent:      metrics.GetOrRegisterCounter("retry-budget-spent", r),
 		resets:           metrics.GetOrRegisterCounter("links-reset", r),
+		linkTrials:       metrics.GetOrRegisterCounter("link-trials-unused", r),
 		cancelledRevoked: metrics.GetOrRegisterCounter("runs-cancelled-revoked", r),
 		cancelledUnread:  metrics.GetOrRegisterCounter("runs-cancelled-unread", r),
 		discardedUnread:  metrics.GetOrRegisterCounter("answers-discarded-unread", r),
--- a/proxy/pacer.go
+++ b/proxy/pacer.go
@@ -120,6 +120,17 @@
 	net.Conn
 
 	pacer *linkPacer
+	// onRead is called when bytes have been received; nil is allowed.
+	onRead func()
+}
+
+// Read reads what has arrived.
+func (c *pacedConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	if n > 0 && c.onRead != nil {
+		c.onRead()
+	}
+	return n, err
 }
 
 // Write writes data at once.
--- a/proxy/reply.go
+++ b/proxy/reply.go
@@ -17,7 +17,6 @@
 // linkReader reads replies from another node.
 type linkReader struct {
 	stream  grpc.ServerStreamingClient[wire.Replies]
-	link    *link
 	onFirst func()
 }
 
@@ -25,7 +24,6 @@
 func (r *linkReader) Recv() (*wire.Replies, error) {
 	reply, err := r.stream.Recv()
 	if err == nil {
-		r.link.markReceived()
 		if r.onFirst != nil {
 			r.onFirst()
 			r.onFirst = nil
--- a/proxy/revoke.go
+++ b/proxy/revoke.go
@@ -51,8 +51,8 @@
 	}()
 }
 
-// requestRevoke sends one request that revokes the attempt. A connection on which
-// nothing is received meanwhile is taken for dead and replaced.
+// requestRevoke sends one request that revokes the attempt. If nothing is received
+// meanwhile, another connection is tried.
 func (a *attempt) requestRevoke(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, revokeTimeout)
 	defer cancel()
@@ -62,15 +62,12 @@
 		return err
 	}
 	replied := make(chan struct{})
-	go l.awaitReply(ctx, conn, replied, a.ackLimit(), "revocation")
+	go l.awaitReply(ctx, conn, replied, a.ackLimit(), "revocation", nil)
 	_, err = wire.NewDoorClient(conn).Revoke(ctx, &wire.CancelRequest{
 		Attempt:     a.offer.Attempt,
 		Instance:    a.offer.Instance,
 		Incarnation: a.offer.Incarnation,
 	})
 	close(replied)
-	if err == nil {
-		l.markReceived()
-	}
 	return cyclam.AtStep("revoke", l.address, err)
 }
