Keep an answer until its sender has it or has stopped waiting

A caller got 502 for an answered request with 3.8 s left: the answer counted as read 1.3 s after it had been written to a connection, which delivered nothing, and was discarded before its sender could come back. How long a sender needs for that has no bound.

An answer now stays until the sender's deadline, or until the sender says that it needs it no more; the bound on all retained answers stays, and those that were passed on go first. So that a stop is not held up by answers that have long arrived, a sender notes what it has got from a node and says so once that node is about to leave, as it already does for answers that come later.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -83,9 +83,8 @@
 	for {
 		completion, rest, err := a.runRemote(ctx, began)
 		if err == nil {
-			if a.leaving && rest == nil {
-				// The node does not stop before it knows that its answer has arrived.
-				a.revoke()
+			if rest == nil {
+				a.finish()
 			}
 			a.report(completion, rest)
 			return
--- a/proxy/fleet.go
+++ b/proxy/fleet.go
@@ -18,6 +18,9 @@
 	at cyclam.Position
 	// unacked holds when the attempts were sent that the node has not acknowledged.
 	unacked map[*attempt]time.Time
+	// finished holds the attempts whose answers have arrived, until their deadlines. The
+	// node keeps the answers until it is told.
+	finished []*attempt
 	// clock is what is known of the node's steady clock.
 	clock intent.Clock
 	// spokeAt is the time of the last message of the node about itself.
@@ -103,12 +106,15 @@
 			FirstAt: now.Add(picker.FirstAttemptDelay(len(f.members), rand.IntN)),
 		}
 		m.failures = 0
-		m.clock = intent.Clock{}
+		m.clock, m.finished = intent.Clock{}, nil
 	}
 	if e.State == cyclam.EndpointReady && m.view.Endpoint.State != cyclam.EndpointReady {
 		m.view.Load.Leaving = false
 		m.view.AvoidUntil = time.Time{}
 	}
+	if e.State == cyclam.EndpointLeaving {
+		m.settleFinished()
+	}
 	if e.State == cyclam.EndpointDown {
 		// The node is tried again after avoidBase, because the notice that it is ready
 		// may be lost.
@@ -196,7 +202,7 @@
 		delete(n.fleet.store.ended, m.view.Endpoint.Identity)
 		m.view.Endpoint.Sequence = 0
 		m.view.Endpoint.State = cyclam.EndpointReady
-		m.clock = intent.Clock{}
+		m.clock, m.finished = intent.Clock{}, nil
 		n.Log.Info("node-restarted", "peer", name, "incarnation", inc)
 		go n.link(m.view.Endpoint.Control).resync()
 	}
@@ -207,6 +213,9 @@
 	m.spokeAt = m.view.LoadAt
 	m.view.InFlight = 0
 	m.failures = 0
+	if l.Leaving {
+		m.settleFinished()
+	}
 	m.unreachableSince = time.Time{}
 	m.view.AvoidUntil = time.Time{}
 }
--- a/proxy/job.go
+++ b/proxy/job.go
@@ -45,10 +45,10 @@
 	question *wire.Question
 	ended    bool
 	endedAt  time.Time
-	// readAt is when a reader had passed on the last reply; its connection may have lost
+	// read is set once a reader has passed on the last reply; its connection may have lost
 	// it. settled is set once no reader needs the replies any more: the sender is on this
-	// node or has revoked the attempt.
-	readAt  time.Time
+	// node or has said so.
+	read    bool
 	settled bool
 	// readers are the streams that read the job; unreadSince is when the last one left.
 	readers     map[*jobCursor]bool
@@ -231,7 +231,7 @@
 			return ready, nil
 		}
 		if j.ended {
-			j.readAt = time.Now()
+			j.read = true
 			j.mu.Unlock()
 			return nil, nil
 		}
@@ -252,12 +252,12 @@
 	j.settled = true
 }
 
-// delivered reports whether the sender has all replies: it has said so, or has not come
-// back for readRetention after they had been passed on.
-func (j *job) delivered(now time.Time) bool {
+// isSettled reports whether no reader needs the replies any more. That they were passed on
+// does not tell: the connection may have lost them.
+func (j *job) isSettled() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return j.settled || !j.readAt.IsZero() && now.Sub(j.readAt) > readRetention
+	return j.settled
 }
 
 // attach adds a reader, which starts at the first reply.
--- a/proxy/load.go
+++ b/proxy/load.go
@@ -126,6 +126,9 @@
 		if at.After(m.view.LoadAt) {
 			m.view.Load = decodeLoad(r.GetLoad())
 			m.view.LoadAt = at
+			if m.view.Load.Leaving {
+				m.settleFinished()
+			}
 			n.fleet.updateNotice(cyclam.InstanceName(r.GetInstance()), r.GetLoad(), at)
 		}
 	}
--- a/proxy/retain.go
+++ b/proxy/retain.go
@@ -9,9 +9,6 @@
 	// refusalRetention is how long a refused job is kept. Afterwards its attempt id is
 	// enough to answer a sender that resumes it.
 	refusalRetention = 700 * time.Millisecond
-	// readRetention is how long a sender may take to notice that the connection has lost
-	// the replies that were passed on, and to come back.
-	readRetention = silenceTimeout + monitorInterval + pingTimeout + connectTimeout
 	// retainedLimit bounds the retained answers, in bytes; jobOverhead is counted for
 	// each beside its body.
 	retainedLimit = 8 << 20
@@ -30,7 +27,7 @@
 		r, ok := j.retained()
 		switch {
 		case !ok:
-		case j.delivered(now), !r.resumable, now.After(j.deadline),
+		case j.isSettled(), !r.resumable, now.After(j.deadline),
 			r.refused && now.Sub(r.endedAt) > refusalRetention:
 			n.discard(r)
 		default:
@@ -106,7 +103,7 @@
 		endedAt:   j.endedAt,
 		refused:   last.GetDeclined() != nil,
 		answered:  last.GetEnd() != nil && last.GetEnd().Reason == "",
-		read:      j.settled || !j.readAt.IsZero(),
+		read:      j.settled || j.read,
 		resumable: j.dropped == 0,
 		bytes:     j.buffered + jobOverhead,
 	}, true
--- a/proxy/stop.go
+++ b/proxy/stop.go
@@ -79,7 +79,7 @@
 	}
 	now := time.Now()
 	for _, j := range n.jobs {
-		if now.Before(j.deadline) && !j.delivered(now) {
+		if now.Before(j.deadline) && !j.isSettled() {
 			return false
 		}
 	}
--- a/proxy/withdraw.go
+++ b/proxy/withdraw.go
@@ -81,7 +81,7 @@
 	var unread []*job
 	n.schedMu.Lock()
 	for _, j := range n.jobs {
-		if j.unreadFor(now) >= unreadGrace && !j.delivered(now) {
+		if j.unreadFor(now) >= unreadGrace && !j.isSettled() {
 			unread = append(unread, j)
 		}
 	}
