Ask whether a sender was replaced before its runs are cancelled

A run was cut while its caller waited (502, LOST): its sender's connection was down, and a message that the sender's former process had sent before arrived late. Whichever process a message named last counted as the present one, and the other as replaced. Incarnations are random and can't be ordered.

Runs without a reader whose sender is said to be replaced are now cancelled only if another process answers at the sender's node when it is asked. A late message can't answer. If the node can't be asked, the run goes on until its end or its deadline.

--- a/proxy/configsource.go
+++ b/proxy/configsource.go
@@ -193,15 +193,9 @@
 
 // exchangeWith exchanges knowledge with a node of the fleet.
 func (n *Node) exchangeWith(ctx context.Context, name cyclam.InstanceName) error {
-	n.mu.Lock()
-	m, ok := n.fleet.members[name]
-	address := ""
-	if ok {
-		address = m.view.Endpoint.Control
-	}
-	n.mu.Unlock()
-	if !ok {
-		return errors.Errorf("exchange with %s: node is not in the fleet", name)
+	address, err := n.addressOf(name)
+	if err != nil {
+		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
@@ -213,6 +207,17 @@
 	return cyclam.AtStep("exchange", address, err)
 }
 
+// addressOf returns the address of an instance's node.
+func (n *Node) addressOf(name cyclam.InstanceName) (string, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	m, ok := n.fleet.members[name]
+	if !ok {
+		return "", errors.Errorf("node %s is not in the fleet", name)
+	}
+	return m.view.Endpoint.Control, nil
+}
+
 // staleCheck reads the store for a node whose sources have lost contact with it.
 type staleCheck struct {
 	node *Node
--- a/proxy/node.go
+++ b/proxy/node.go
@@ -220,7 +220,7 @@
 				typical := picker.MeanServiceTime(n.fleet.candidates(n.Settings.Self.Service))
 				n.mu.Unlock()
 				n.decide(func(s sched.State) (sched.State, []sched.Decision) { return s.WithServiceTimeHint(typical), nil })
-				n.cancelAbandoned(now)
+				n.cancelAbandoned(ctx, now)
 				n.expireJobs(now)
 				go n.deleteUnreachable(ctx, now)
 			}
--- a/proxy/withdraw.go
+++ b/proxy/withdraw.go
@@ -1,10 +1,13 @@
 package proxy
 
 import (
+	"context"
 	"math"
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/wire"
+	"github.com/pkg/errors"
 )
 
 // revoke cancels an attempt whose sender needs no answer. It returns true if the attempt
@@ -75,23 +78,65 @@
 	j.cancel(errUnread)
 }
 
-// cancelAbandoned cancels the runs without a reader whose senders' processes are known to
-// have been replaced: nobody resumes or revokes them.
-func (n *Node) cancelAbandoned(now time.Time) {
-	var unread []*job
+// cancelAbandoned cancels the runs without a reader whose senders' processes have been
+// replaced: nobody resumes or revokes them. What says so may have been sent by the process
+// before the sender's, so the sender's node is asked first.
+func (n *Node) cancelAbandoned(ctx context.Context, now time.Time) {
+	unread := map[cyclam.Identity][]*job{}
 	n.schedMu.Lock()
 	for _, j := range n.jobs {
-		if j.unreadFor(now) >= unreadGrace && !j.isSettled() {
-			unread = append(unread, j)
+		if j.unreadFor(now) >= unreadGrace && !j.hasEnded() && !j.isSettled() {
+			unread[j.attempt.Sender] = append(unread[j.attempt.Sender], j)
 		}
 	}
 	n.schedMu.Unlock()
-	for _, j := range unread {
+	for sender, jobs := range unread {
 		n.mu.Lock()
-		replaced := n.fleet.store.ended[j.attempt.Sender].replaced
+		replaced := n.fleet.store.ended[sender].replaced
 		n.mu.Unlock()
 		if replaced {
+			go n.cancelIfReplaced(ctx, sender, jobs)
+		}
+	}
+}
+
+// cancelIfReplaced cancels jobs if another process answers at their sender's node.
+func (n *Node) cancelIfReplaced(ctx context.Context, sender cyclam.Identity, jobs []*job) {
+	present, err := n.askProcess(ctx, sender.Instance)
+	if err != nil || present == sender {
+		n.Log.Info("sender-not-replaced", "sender", sender.Instance, "incarnation", sender.Incarnation, "runs", len(jobs), "error", err)
+		return
+	}
+	for _, j := range jobs {
+		if !j.hasEnded() {
 			n.cancelUnread(j)
 		}
 	}
 }
+
+// askProcess returns the process that answers at an instance's node now.
+func (n *Node) askProcess(ctx context.Context, name cyclam.InstanceName) (cyclam.Identity, error) {
+	address, err := n.addressOf(name)
+	if err != nil {
+		return cyclam.Identity{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	conn, err := n.link(address).connect(ctx)
+	if err != nil {
+		return cyclam.Identity{}, err
+	}
+	reply, err := wire.NewDoorClient(conn).Exchange(ctx, &wire.Knowledge{
+		Version: uint64(n.version()),
+	})
+	if err != nil {
+		return cyclam.Identity{}, cyclam.AtStep("ask for the process", address, err)
+	}
+	if got := cyclam.InstanceName(reply.Self.GetInstance()); got != name {
+		return cyclam.Identity{}, cyclam.AtStep("ask for the process", address, errors.Errorf("node %q answers in place of %q", got, name))
+	}
+	return cyclam.Identity{
+		Instance:    name,
+		Incarnation: cyclam.Incarnation(reply.Self.GetIncarnation()),
+	}, nil
+}
