--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
@@ -23,8 +24,11 @@
 	target  picker.Candidate
 	offer   *wire.Offer
 	results chan<- result
-	// deadline is the call's deadline.
+	// goal and deadline are those of the call.
+	goal     time.Time
 	deadline time.Time
+	// answer answers a question of the node.
+	answer func(*wire.Question)
 	// started is set once the upstream may have started to work.
 	started bool
 	// accepted is set once the node has acknowledged the offer.
@@ -33,9 +37,10 @@
 	leaving bool
 	// held counts the memory of what is received for the call.
 	held *heldAnswers
-	// suspectAfter is the number of interruptions after which the attempt is reported
-	// as suspect.
-	suspectAfter int
+	// disturbances counts the interruptions of the link and the times that it was silent.
+	// After suspectAfter of them the attempt is reported as suspect.
+	disturbances atomic.Int32
+	suspectAfter int32
 }
 
 // resumePause is the pause before an interrupted attempt is resumed.
@@ -52,8 +57,7 @@
 	o.Instance = string(target.Endpoint.Instance)
 	o.Incarnation = uint64(target.Endpoint.Incarnation)
 	o.Service = string(c.service)
-	o.RemainingUs = c.deadline.Sub(now).Microseconds()
-	o.GoalUs = c.goal.Sub(now).Microseconds()
+	o.AnswersQuestions = target.Endpoint.Identity != c.node.self
 	o.Version = uint64(c.version)
 	c.node.mu.Lock()
 	o.Notice = c.node.fleet.noticeFor(target.Endpoint.Instance, now)
@@ -68,16 +72,19 @@
 		a.report(a.runLocal(ctx))
 		return
 	}
+	if refused, ok := a.awaitTurn(ctx); !ok {
+		a.report(refused, nil)
+		return
+	}
 	a.node.noteSent(a)
 	defer a.node.noteAcked(a)
 	began := time.Now()
-	interruptions := 0
+	interrupted := false
 	for {
 		completion, rest, err := a.runRemote(ctx, began)
 		if err == nil {
-			if a.leaving && rest == nil {
-				// The node does not stop before it knows that its answer has arrived.
-				a.revoke()
+			if rest == nil {
+				a.finish()
 			}
 			a.report(completion, rest)
 			return
@@ -92,21 +99,13 @@
 			a.report(unknown(cyclam.ReasonDeadlineExceeded), nil)
 			return
 		}
-		interruptions++
-		if interruptions == 1 {
-			a.started = true
-			a.node.markUnreachable(a.target.Endpoint.Instance)
+		if !interrupted {
+			interrupted, a.started = true, true
 			a.node.Log.Warn("attempt-interrupted", append(a.logFields(), "error", err)...)
 		}
-		if interruptions == a.suspectAfter {
-			a.results <- result{
-				target:  a.target,
-				suspect: true,
-			}
-		}
+		a.noteDisturbance()
 		// The node has the request, or refuses the attempt.
 		a.offer.Resume, a.offer.Body, a.offer.Headers = true, nil, nil
-		a.offer.RemainingUs = time.Until(a.deadline).Microseconds()
 		select {
 		case <-ctx.Done():
 		case <-time.After(resumePause):
@@ -114,6 +113,39 @@
 	}
 }
 
+// noteDisturbance records that the link was interrupted or is silent: the node is avoided,
+// and another one may be tried as well.
+func (a *attempt) noteDisturbance() {
+	count := a.disturbances.Add(1)
+	if count == 1 {
+		a.node.markUnreachable(a.target.Endpoint.Instance)
+	}
+	if count == a.suspectAfter {
+		a.results <- result{
+			target:  a.target,
+			suspect: true,
+		}
+	}
+}
+
+// awaitTurn waits until the node's link has room for the request's body. It returns false
+// and the completion of an attempt that is not sent, because it would be too late.
+func (a *attempt) awaitTurn(ctx context.Context) (cyclam.Completion, bool) {
+	bytes := len(a.offer.Body)
+	if bytes < bulkBytes {
+		return cyclam.Completion{}, true
+	}
+	wait, ok := a.node.pacer.prepayBy(bytes, a.deadline)
+	switch {
+	case !ok:
+		return cyclam.Refused(cyclam.ReasonOverloaded, wait), false
+	case wait > 0 && !sleep(ctx, wait):
+		return cyclam.Refused(cyclam.ReasonDeadlineExceeded, 0), false
+	default:
+		return cyclam.Completion{}, true
+	}
+}
+
 func (a *attempt) report(completion cyclam.Completion, rest *answerRest) {
 	a.results <- result{
 		target:     a.target,
@@ -137,6 +169,7 @@
 
 // runLocal runs the attempt at the local upstream.
 func (a *attempt) runLocal(ctx context.Context) (cyclam.Completion, *answerRest) {
+	a.stamp(time.Now())
 	j, final := a.node.admit(a.offer)
 	if final != nil {
 		v, _, _ := a.collect(ctx, &singleReply{
@@ -169,23 +202,25 @@
 	if err != nil {
 		return cyclam.Completion{}, nil, err
 	}
-	l.beginAttempt()
+	l.beginAttempt(a, a.noteDisturbance)
 	sctx, cancel := context.WithCancel(ctx)
 	finish := func() {
 		cancel()
-		l.endAttempt()
+		l.endAttempt(a)
 	}
-	stream, err := wire.NewDoorClient(conn).Serve(sctx, a.offer)
+	client := wire.NewDoorClient(conn)
+	a.stamp(time.Now())
+	stream, err := client.Serve(sctx, a.offer)
 	if err != nil {
 		finish()
 		return cyclam.Completion{}, nil, err
 	}
 	source := &linkReader{
 		stream: stream,
-		link:   l,
 	}
+	a.answer = func(q *wire.Question) { go a.confirm(sctx, client, q) }
 	acked := make(chan struct{})
-	go l.awaitReply(sctx, conn, acked, a.ackLimit(), "offer")
+	go l.awaitReply(sctx, conn, acked, a.ackLimit(), "offer", a.noteDisturbance)
 	source.onFirst = func() {
 		close(acked)
 		a.node.noteAcked(a)
@@ -260,6 +295,10 @@
 		a.accepted = true
 	case *wire.Reply_Started:
 		a.started = true
+	case *wire.Reply_Question:
+		if a.answer != nil {
+			a.answer(k.Question)
+		}
 	case *wire.Reply_Declined:
 		return cyclam.Refused(cyclam.Reason(k.Declined.Reason), time.Duration(k.Declined.RetryAfterUs)*time.Microsecond), true
 	case *wire.Reply_Head:
--- a/proxy/job.go
+++ b/proxy/job.go
@@ -14,11 +14,14 @@
 // job is one attempt at the local upstream. Its replies are kept as a log, which the
 // sender can read again from the start after its connection broke.
 type job struct {
-	offer    *wire.Offer
-	attempt  cyclam.AttemptID
-	arrived  time.Time
+	offer   *wire.Offer
+	attempt cyclam.AttemptID
+	arrived time.Time
+	// deadline is when the sender stops waiting, as far as is known. It is guarded by
+	// Node.schedMu and does not change once the job runs.
 	deadline time.Time
-	ctx      context.Context
+	// ctx ends with the run. It is replaced when the run starts.
+	ctx context.Context
 	// cancel ends the run with a cause, which is logged.
 	cancel context.CancelCauseFunc
 
@@ -38,12 +41,14 @@
 	// committed is the bytes of the answer that are committed on the link's pacer and
 	// not yet sent.
 	committed int
-	ended     bool
-	endedAt   time.Time
-	// readAt is when a reader had passed on the last reply; its connection may have lost
+	// question is the last question to the sender.
+	question *wire.Question
+	ended    bool
+	endedAt  time.Time
+	// read is set once a reader has passed on the last reply; its connection may have lost
 	// it. settled is set once no reader needs the replies any more: the sender is on this
-	// node or has revoked the attempt.
-	readAt  time.Time
+	// node or has said so.
+	read    bool
 	settled bool
 	// readers are the streams that read the job; unreadSince is when the last one left.
 	readers     map[*jobCursor]bool
@@ -56,6 +61,8 @@
 	// has passed on.
 	next   int
 	passed int
+	// question is the last question that the stream has passed on.
+	question *wire.Question
 }
 
 // answerBufferLimit is the most bytes of an answer that are buffered for reading again,
@@ -72,22 +79,36 @@
 var errNotRetained = errors.New("start of the answer is no longer buffered")
 
 func newJob(ctx context.Context, offer *wire.Offer, attempt cyclam.AttemptID, now time.Time) *job {
-	remaining := time.Duration(offer.RemainingUs) * time.Microsecond
 	j := &job{
 		offer:    offer,
 		attempt:  attempt,
 		arrived:  now,
-		deadline: now.Add(remaining),
+		deadline: now.Add(time.Duration(offer.RemainingUs) * time.Microsecond),
 		wake:     make(chan struct{}),
 		readers:  map[*jobCursor]bool{},
 	}
-	ctx, stopTimer := context.WithDeadline(ctx, j.deadline)
-	ctx, cancel := context.WithCancelCause(ctx)
+	j.ctx, j.cancel = context.WithCancelCause(ctx)
+	return j
+}
+
+// start begins the run, which ends at the deadline at the latest. The caller holds
+// Node.schedMu.
+func (j *job) start() {
+	ctx, stopTimer := context.WithDeadline(j.ctx, j.deadline)
+	cancel := j.cancel
 	j.ctx, j.cancel = ctx, func(cause error) {
 		cancel(cause)
 		stopTimer()
 	}
-	return j
+	j.append(&wire.Reply{Kind: &wire.Reply_Started{Started: &wire.Started{}}}, false)
+}
+
+// ask puts a question to the sender, in place of an earlier one.
+func (j *job) ask(q *wire.Question) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.question = q
+	j.signal()
 }
 
 // append adds a reply to the log; last marks the final one, with which the request is
@@ -199,14 +220,18 @@
 			j.mu.Unlock()
 			return nil, errNotRetained
 		}
-		if index < len(j.log) {
+		if asked := j.question != r.question && !j.ended; asked || index < len(j.log) {
 			ready := slices.Clone(j.log[index:min(len(j.log), index+batchLimit)])
 			r.next += len(ready)
+			if asked {
+				ready = append(ready, &wire.Reply{Kind: &wire.Reply_Question{Question: j.question}})
+			}
+			r.question = j.question
 			j.mu.Unlock()
 			return ready, nil
 		}
 		if j.ended {
-			j.readAt = time.Now()
+			j.read = true
 			j.mu.Unlock()
 			return nil, nil
 		}
@@ -227,12 +252,12 @@
 	j.settled = true
 }
 
-// delivered reports whether the sender has all replies: it has said so, or has not come
-// back for readRetention after they had been passed on.
-func (j *job) delivered(now time.Time) bool {
+// isSettled reports whether no reader needs the replies any more. That they were passed on
+// does not tell: the connection may have lost them.
+func (j *job) isSettled() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return j.settled || !j.readAt.IsZero() && now.Sub(j.readAt) > readRetention
+	return j.settled
 }
 
 // attach adds a reader, which starts at the first reply.
--- a/proxy/load.go
+++ b/proxy/load.go
@@ -121,10 +121,14 @@
 		if !ok || m.view.Endpoint.Incarnation != cyclam.Incarnation(r.GetLoad().GetIncarnation()) {
 			continue
 		}
+		m.noteClock(r.GetLoad(), now)
 		at := now.Add(-max(0, time.Duration(r.GetAgeUs())*time.Microsecond))
 		if at.After(m.view.LoadAt) {
 			m.view.Load = decodeLoad(r.GetLoad())
 			m.view.LoadAt = at
+			if m.view.Load.Leaving {
+				m.settleFinished()
+			}
 			n.fleet.updateNotice(cyclam.InstanceName(r.GetInstance()), r.GetLoad(), at)
 		}
 	}
--- a/proxy/meters.go
+++ b/proxy/meters.go
@@ -14,12 +14,16 @@
 	hedges      metrics.Counter
 	budgetSpent metrics.Counter
 	resets      metrics.Counter
+	// linkTrials counts the connections that were tried beside a silent one and not used.
+	linkTrials metrics.Counter
 	// cancelledRevoked and cancelledUnread count the runs cancelled by their sender and
 	// for lack of a reader; discardedUnread counts the answers discarded before a reader
 	// had read them.
 	cancelledRevoked metrics.Counter
 	cancelledUnread  metrics.Counter
 	discardedUnread  metrics.Counter
+	// questions counts the questions to senders whether an attempt is still wanted.
+	questions metrics.Counter
 	// upstreamRequests counts the requests that were sent to the own upstream; rateLimit
 	// is the limit that it names.
 	upstreamRequests metrics.Counter
@@ -37,9 +41,11 @@
 		hedges:           metrics.GetOrRegisterCounter("attempts-hedged", r),
 		budgetSpent:      metrics.GetOrRegisterCounter("retry-budget-spent", r),
 		resets:           metrics.GetOrRegisterCounter("links-reset", r),
+		linkTrials:       metrics.GetOrRegisterCounter("link-trials-unused", r),
 		cancelledRevoked: metrics.GetOrRegisterCounter("runs-cancelled-revoked", r),
 		cancelledUnread:  metrics.GetOrRegisterCounter("runs-cancelled-unread", r),
 		discardedUnread:  metrics.GetOrRegisterCounter("answers-discarded-unread", r),
+		questions:        metrics.GetOrRegisterCounter("senders-asked", r),
 		upstreamRequests: metrics.GetOrRegisterCounter("upstream-requests", r),
 		rateLimit:        metrics.GetOrRegisterGaugeFloat64("upstream-rate-limit", r),
 		revocation:       metrics.GetOrRegisterTimer("revocation", r),
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -34,7 +34,10 @@
 		node: n,
 	})
 	group.Go(func() error {
-		return cyclam.AtStep("serve other nodes", listener.Addr().String(), n.peers.Serve(listener))
+		return cyclam.AtStep("serve other nodes", listener.Addr().String(), n.peers.Serve(&pacedListener{
+			Listener: listener,
+			pacer:    &n.pacer,
+		}))
 	})
 	group.Go(func() error {
 		<-ctx.Done()
@@ -73,7 +76,7 @@
 		sent += bodySize(ready)
 		for _, part := range splitChunks(ready, sent >= largeAnswerBytes) {
 			n.pacer.uncommit(j.uncommit(bodySize(part)))
-			if wait := n.pacer.reserve(bodySize(part)); sent >= largeAnswerBytes && !sleep(stream.Context(), wait) {
+			if wait := n.pacer.prepay(bodySize(part)); sent >= largeAnswerBytes && !sleep(stream.Context(), wait) {
 				return stream.Context().Err()
 			}
 			if err := stream.Send(n.batch(part)); err != nil {
@@ -113,6 +116,22 @@
 	}, nil
 }
 
+// Confirm records that the sender of an attempt still wants it.
+func (p *peerServer) Confirm(_ context.Context, c *wire.Confirmation) (*wire.ConfirmationReply, error) {
+	attempt, err := codec.DecodeAttempt(c.Attempt)
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	target := cyclam.Identity{
+		Instance:    cyclam.InstanceName(c.Instance),
+		Incarnation: cyclam.Incarnation(c.Incarnation),
+	}
+	if target == p.node.self {
+		p.node.noteWord(attempt, c)
+	}
+	return &wire.ConfirmationReply{}, nil
+}
+
 // Exchange merges the other node's knowledge and returns what that node lacks. While
 // this node is not ready, it asks for the whole fleet.
 func (p *peerServer) Exchange(_ context.Context, k *wire.Knowledge) (*wire.Knowledge, error) {
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -7,6 +7,7 @@
 
 	cyclam "github.com/cyclamensaddle/cyclam"
 	"github.com/cyclamensaddle/cyclam/codec"
+	"github.com/cyclamensaddle/cyclam/intent"
 	"github.com/cyclamensaddle/cyclam/origin"
 	"github.com/cyclamensaddle/cyclam/sched"
 	"github.com/cyclamensaddle/cyclam/wire"
@@ -30,8 +31,15 @@
 		if !ok {
 			continue
 		}
-		if d.Start {
-			j.append(&wire.Reply{Kind: &wire.Reply_Started{Started: &wire.Started{}}}, false)
+		switch {
+		case d.Ask:
+			n.meters.questions.Inc(1)
+			j.ask(&wire.Question{
+				AskedUs: n.clock(time.Now()),
+			})
+			continue
+		case d.Start:
+			j.start()
 			go n.run(j)
 			continue
 		}
@@ -64,6 +72,7 @@
 		Incarnation: cyclam.Incarnation(offer.Incarnation),
 	}
 	if j, known := n.jobs[attempt]; known {
+		n.noteWordLocked(j, n.timeOf(offer.SentUs), microseconds(offer.RemainingUs))
 		return j, nil
 	}
 	switch {
@@ -83,9 +92,11 @@
 	}
 	now := time.Now()
 	n.acceptNotice(offer.Notice, now)
+	sentAt := n.timeOf(offer.SentUs)
 	j := newJob(context.Background(), offer, attempt, now)
+	j.deadline = intent.Deadline(now, sentAt, microseconds(offer.RemainingUs))
 	j.memory = &n.answers
-	goal := now.Add(time.Duration(offer.GoalUs) * time.Microsecond)
+	goal := intent.Deadline(now, sentAt, microseconds(offer.GoalUs))
 	if bytes := int(n.answerBytes[offer.Route]); bytes >= largeAnswerBytes {
 		ok, after := n.pacer.commit(now, n.scheduler.ServiceTime(), bytes, goal, j.deadline)
 		if !ok {
@@ -106,11 +117,15 @@
 			Arrived:      now,
 			SoftDeadline: goal,
 			Deadline:     j.deadline,
+			Word:         n.wordOf(offer, now, sentAt),
 		})
 	})
 	return j, nil
 }
 
+// microseconds returns a duration of a message.
+func microseconds(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
+
 // isRunning reports whether the local upstream is running a request with this id.
 func (n *Node) isRunning(id string) bool {
 	if id == "" {
@@ -316,5 +331,7 @@
 	l.Leaving = l.Leaving || n.closedToPeers(now)
 	l.Version = n.version()
 	l.SendBacklog, l.LinkRate = n.pacer.backlog(now), n.Settings.LinkRate
-	return encodeLoad(l, n.self.Incarnation, notice.encode(now))
+	w := encodeLoad(l, n.self.Incarnation, notice.encode(now))
+	w.ClockUs = n.clock(now)
+	return w
 }
