Let the reader of a caller's connection close it as idle

Callers saw requests on kept connections end without an answer or a refusal (rule LOST), most often beside a configuration that lowers the idle timeout.

A lowered timeout was also applied to the time that a connection had already been idle under the longer one, though its caller could rely on that.

Mend: callerConn, the connection that the HTTP server reads, applies the time-outs itself. Its Read ends the connection only after the idle timeout and one more read of 200 ms, since an expired deadline hides bytes that have arrived; if it returns a byte, the header's timeout holds. No other goroutine closes a connection that may hold a part of a request, so the order no longer depends on how soon the server notes a request. The longest idle timeout that was in force while the connection waited holds for it: PROTOCOL.md lets callers reuse connections for four fifths of the limit, and a caller may know any of these limits. A new limit raises that of waiting connections; a lower one holds from the next answer on, as a request that then crosses the close has not been read and is sent again.

The server's read buffer has less room than its size, between two requests, only if it holds a part of the next one; such a connection is not idle (TestBeginningBehindRequestIsNotIdle, which fails without that rule).

The constant sweepInterval is used by the tests alone and has moved there.

--- /dev/null
+++ b/proxy/callerconn_test.go
@@ -0,0 +1,227 @@
+package proxy
+
+import (
+	"io"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+)
+
+// testCallers is a set of one caller's connection whose limits the test changes.
+type testCallers struct {
+	*callerConns
+
+	conn   *callerConn
+	caller net.Conn
+	now    cyclam.Limits
+}
+
+func newTestCallers(idle time.Duration) *testCallers {
+	s := &testCallers{
+		now: cyclam.Limits{
+			IdleTimeout: idle,
+		},
+	}
+	s.callerConns = &callerConns{
+		log:    hclog.NewNullLogger(),
+		limits: func() cyclam.Limits { return s.now },
+		conns:  map[*callerConn]struct{}{},
+	}
+	caller, inner := net.Pipe()
+	s.caller = caller
+	s.conn = &callerConn{
+		Conn:    inner,
+		callers: s.callerConns,
+	}
+	s.conns[s.conn] = struct{}{}
+	s.conn.setServed(false)
+	return s
+}
+
+// limitIdle puts another idle timeout in force.
+func (s *testCallers) limitIdle(idle time.Duration) {
+	s.now.IdleTimeout = idle
+	s.raise(s.now)
+}
+
+// The longest idle timeout that was in force while a connection was idle must hold for it:
+// its caller may know any of them.
+func TestIdleConnectionKeepsLongestLimit(t *testing.T) {
+	const first = 10 * time.Second
+	for name, test := range map[string]struct {
+		limits []time.Duration
+		want   time.Duration
+	}{
+		"stays":   {limits: nil, want: first},
+		"lowered": {limits: []time.Duration{2 * time.Second}, want: first},
+		"raised":  {limits: []time.Duration{2 * first}, want: 2 * first},
+		"raised and lowered": {
+			limits: []time.Duration{2 * first, 2 * time.Second},
+			want:   2 * first,
+		},
+		"lowered and raised": {
+			limits: []time.Duration{2 * time.Second, 2 * first, time.Second},
+			want:   2 * first,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newTestCallers(first)
+				defer s.conn.Close()
+				began := time.Now()
+				go func() {
+					for _, limit := range test.limits {
+						<-time.After(time.Second)
+						s.limitIdle(limit)
+					}
+				}()
+				_, err := s.conn.Read(make([]byte, 4096))
+				if !errors.Is(err, io.EOF) {
+					t.Errorf("read: got %v, want %v", err, io.EOF)
+				}
+				if got, want := time.Since(began), test.want+lastLook; got != want {
+					t.Errorf("closed after: got %v, want %v", got, want)
+				}
+			})
+		})
+	}
+}
+
+// A limit that has been lowered holds for a connection from its next answer on.
+func TestLoweredIdleLimitHoldsFromNextAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestCallers(time.Minute)
+		defer s.conn.Close()
+		s.limitIdle(time.Second)
+		go func() { _, _ = io.WriteString(s.caller, "request") }()
+		if _, err := s.conn.Read(make([]byte, 4096)); err != nil {
+			t.Fatal(err)
+		}
+		s.conn.setServed(true)
+		s.conn.setServed(false)
+		began := time.Now()
+		_, err := s.conn.Read(make([]byte, 4096))
+		if got, want := time.Since(began), time.Second+lastLook; got != want {
+			t.Errorf("closed after: got %v (%v), want %v", got, err, want)
+		}
+	})
+}
+
+// An idle timeout that is lifted must not close connections that wait.
+func TestLiftedIdleLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestCallers(time.Second)
+		defer s.conn.Close()
+		go func() {
+			<-time.After(time.Second / 2)
+			s.limitIdle(0)
+			<-time.After(time.Hour)
+			_, _ = io.WriteString(s.caller, "request")
+		}()
+		if n, err := s.conn.Read(make([]byte, 4096)); n == 0 {
+			t.Errorf("read: got %v, want the request", err)
+		}
+	})
+}
+
+// tardyConn reports that a deadline has passed although bytes have arrived, as a connection
+// does whose process has stood still.
+type tardyConn struct {
+	net.Conn
+
+	arrived chan struct{}
+}
+
+func (c *tardyConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 && err != nil && c.arrived != nil {
+		close(c.arrived)
+		c.arrived = nil
+	}
+	return n, err
+}
+
+// A request that has arrived before its connection is closed must be read, though the idle
+// timeout or the deadline for a stop has passed.
+func TestRequestBehindExpiredDeadline(t *testing.T) {
+	for name, end := range map[string]func(s *testCallers){
+		"idle timeout": func(*testCallers) {},
+		"stop":         (*testCallers).retire,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newTestCallers(time.Second)
+				arrived := make(chan struct{})
+				s.conn.Conn = &tardyConn{
+					Conn:    s.conn.Conn,
+					arrived: arrived,
+				}
+				defer s.conn.Close()
+				go func() {
+					<-arrived
+					_, _ = io.WriteString(s.caller, "request")
+				}()
+				go func() {
+					<-time.After(time.Second / 2)
+					end(s)
+				}()
+				if n, err := s.conn.Read(make([]byte, 4096)); n == 0 {
+					t.Errorf("read: got %v, want the request", err)
+				}
+			})
+		})
+	}
+}
+
+// The beginning of a request may arrive together with the request before: its connection is
+// not idle.
+func TestBeginningBehindRequestIsNotIdle(t *testing.T) {
+	for name, length := range map[string]int{"one byte": 1, "three bytes": 3} {
+		t.Run(name, func(t *testing.T) {
+			i := newIdleTest(t, sweepInterval)
+			c := i.connect()
+			next := request()
+			c.send(request() + next[:length])
+			if err := c.receive(); err != nil {
+				t.Fatal(err)
+			}
+			<-time.After(2*sweepInterval + lastLook)
+			c.send(next[length:])
+			if err := c.receive(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// A connection that stays idle must be closed, a new one too.
+func TestIdleConnectionIsClosed(t *testing.T) {
+	for name, requests := range map[string]int{"kept": 1, "new": 0} {
+		t.Run(name, func(t *testing.T) {
+			i := newIdleTest(t, sweepInterval)
+			c := i.connect()
+			for range requests {
+				c.send(request())
+				if err := c.receive(); err != nil {
+					t.Fatal(err)
+				}
+			}
+			began := time.Now()
+			_ = c.SetReadDeadline(began.Add(5 * time.Second))
+			if _, err := c.reader.ReadByte(); !errors.Is(err, io.EOF) {
+				t.Errorf("read: got %v, want the end of the connection", err)
+			}
+			if got, least := time.Since(began), sweepInterval; got < least {
+				t.Errorf("closed after %v, want at least %v", got, least)
+			}
+			if got := len(i.callers.open()); got != 0 {
+				t.Errorf("open connections: got %d, want 0", got)
+			}
+		})
+	}
+}
--- a/proxy/idle.go
+++ b/proxy/idle.go
@@ -1,18 +1,17 @@
 package proxy
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
 	"github.com/hashicorp/go-hclog"
 )
 
-// headerTimeoutCap bounds the reading of a request's header. The HTTP server gets it
-// before a configuration is known; Limits.HeaderTimeout does not change it.
+// headerTimeoutCap bounds the reading of a request's header.
 const headerTimeoutCap = 30 * time.Second
 
 // defaultLimits apply until a configuration is known.
@@ -31,71 +30,97 @@
 	return defaultLimits
 }
 
-// idleConns closes callers' connections after the configured idle timeout.
-// http.Server's own idle timeout is fixed at start, while this one may change
-// while connections are open.
-type idleConns struct {
-	log hclog.Logger
+// callerConns accepts callers' connections and knows those that are open. A connection's
+// mutex may be held while mu is taken, but not the reverse.
+type callerConns struct {
+	net.Listener
+
+	log    hclog.Logger
+	limits func() cyclam.Limits
+	// retired is set once connections that wait for a request are to be closed.
+	retired atomic.Bool
 
 	mu    sync.Mutex
-	since map[net.Conn]time.Time
-	// closed holds when each connection was closed here, until the server has noted it.
-	closed map[net.Conn]time.Time
+	conns map[*callerConn]struct{}
+	// closed is the number of connections closed as idle since the last line of the log,
+	// longest the longest time that one of them had been idle.
+	closed  int
+	longest time.Duration
 }
 
-// track is the ConnState hook of the server; it records when c became idle.
-func (i *idleConns) track(c net.Conn, state http.ConnState) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	switch state {
-	case http.StateNew, http.StateIdle:
-		i.since[c] = time.Now()
-	case http.StateActive:
-		delete(i.since, c)
-		if at, ok := i.closed[c]; ok {
-			i.log.Warn("request-on-closed-connection", "caller", c.RemoteAddr(), "closed-for", time.Since(at))
-		}
-	default:
-		delete(i.since, c)
-		delete(i.closed, c)
+// Accept waits for the next connection.
+func (s *callerConns) Accept() (net.Conn, error) {
+	raw, err := s.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &callerConn{
+		Conn:    raw,
+		callers: s,
 	}
+	s.mu.Lock()
+	s.conns[c] = struct{}{}
+	s.mu.Unlock()
+	c.setServed(false)
+	return c, nil
+}
+
+// track is the ConnState hook of the server.
+func (*callerConns) track(c net.Conn, state http.ConnState) {
+	conn, ok := c.(*callerConn)
+	if ok && (state == http.StateActive || state == http.StateIdle) {
+		conn.setServed(state == http.StateActive)
+	}
+}
+
+func (s *callerConns) remove(c *callerConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
 }
 
-// sweepInterval is the interval between checks for idle connections.
-const sweepInterval = 500 * time.Millisecond
-
-func (i *idleConns) sweep(ctx context.Context, limits func() cyclam.Limits) {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			if limit := limits().IdleTimeout; limit > 0 {
-				i.close(now, limit)
-			}
-		}
+// open returns the connections that are open.
+func (s *callerConns) open() []*callerConn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	open := make([]*callerConn, 0, len(s.conns))
+	for c := range s.conns {
+		open = append(open, c)
 	}
+	return open
 }
 
-func (i *idleConns) close(now time.Time, limit time.Duration) {
-	began := time.Now()
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	closed, longest := 0, time.Duration(0)
-	for c, since := range i.since {
-		idle := now.Sub(since)
-		if idle <= limit {
-			continue
-		}
-		_ = c.Close()
-		delete(i.since, c)
-		i.closed[c] = now
-		closed++
-		longest = max(longest, idle)
+// raise applies limits that have come into force to the open connections.
+func (s *callerConns) raise(limits cyclam.Limits) {
+	for _, c := range s.open() {
+		c.raise(limits)
 	}
+}
+
+// countClosed counts a connection that is closed as idle.
+func (s *callerConns) countClosed(idle time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed++
+	s.longest = max(s.longest, idle)
+}
+
+// logClosed logs how many connections have been closed as idle since the last call.
+func (s *callerConns) logClosed() {
+	s.mu.Lock()
+	closed, longest, open := s.closed, s.longest, len(s.conns)
+	s.closed, s.longest = 0, 0
+	s.mu.Unlock()
 	if closed > 0 {
-		i.log.Info("idle-connections-closed", "closed", closed, "open", len(i.since), "limit", limit, "longest", longest, "took", time.Since(began))
+		s.log.Info("idle-connections-closed", "closed", closed, "open", open, "limit", s.limits().IdleTimeout, "longest", longest)
+	}
+}
+
+// retire closes the connections that wait for a request, now and from now on. Each is
+// closed by its reader.
+func (s *callerConns) retire() {
+	s.retired.Store(true)
+	for _, c := range s.open() {
+		c.wake()
 	}
 }
--- a/proxy/idle_test.go
+++ b/proxy/idle_test.go
@@ -18,6 +18,9 @@
 	"google.golang.org/grpc"
 )
 
+// sweepInterval is a time that is short beside the other time limits.
+const sweepInterval = 500 * time.Millisecond
+
 // delayedReads is a listener. A connection that it has accepted returns what it has read
 // late, as if the process had been out of processor time.
 type delayedReads struct {
--- a/proxy/node.go
+++ b/proxy/node.go
@@ -48,9 +48,10 @@
 	exitAt  atomic.Pointer[time.Time]
 	closeAt atomic.Pointer[time.Time]
 	// grace is the time between Stop and the kill, in nanoseconds.
-	grace  atomic.Int64
-	server *http.Server
-	peers  *grpc.Server
+	grace   atomic.Int64
+	server  *http.Server
+	callers callerConns
+	peers   *grpc.Server
 
 	current       atomic.Pointer[router.Table]
 	configHistory configHistory
@@ -213,6 +214,7 @@
 			if now.Sub(lastExpiry) >= time.Second {
 				lastExpiry = now
 				n.origin.Expire()
+				n.callers.logClosed()
 				n.logRateLimit(now)
 				n.recheckRateLimit(ctx, now)
 				n.mu.Lock()
@@ -228,28 +230,26 @@
 	}
 }
 
-// serveCallers runs the HTTP server for callers until the context ends.
+// serveCallers runs the HTTP server for callers until the context ends. The server has no
+// time-outs of its own: callerConn applies those of the configuration in force.
 func (n *Node) serveCallers(ctx context.Context, group *errgroup.Group, listener net.Listener) {
-	idle := &idleConns{
-		log:    n.Log,
-		since:  map[net.Conn]time.Time{},
-		closed: map[net.Conn]time.Time{},
-	}
+	n.callers.Listener = listener
+	n.callers.log, n.callers.limits = n.Log, n.limits
+	n.callers.conns = map[*callerConn]struct{}{}
 	n.server = &http.Server{
-		Handler:           http.HandlerFunc(n.handle),
-		ReadHeaderTimeout: headerTimeoutCap,
-		ConnState:         idle.track,
-		ErrorLog:          n.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		Handler:   http.HandlerFunc(n.handle),
+		ConnState: n.callers.track,
+		ErrorLog:  n.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	group.Go(func() error {
-		err := n.server.Serve(listener)
+		err := n.server.Serve(&n.callers)
 		if errors.Is(err, http.ErrServerClosed) {
 			return nil
 		}
 		return cyclam.AtStep("serve callers", listener.Addr().String(), err)
 	})
 	group.Go(func() error {
-		idle.sweep(ctx, n.limits)
+		<-ctx.Done()
 		return errors.Wrap(n.server.Close(), "close callers' server")
 	})
 }
