Apply the configured header timeout to callers

limits.header_timeout was read and validated, but the server for callers had a constant of 30 s. A caller that sends a part of a header and stops held its connection, one of 4,100 descriptors on the smallest machines, for up to 30 s, and for good if it had sent fewer than four bytes on a kept connection, as the HTTP server starts its timeout after these.

callerConn applies the limit in force when the first byte is read, raised by what comes into force meanwhile, with one last look that further bytes don't extend. Without a configured limit it is 30 s as before.

TestHeaderTimeoutOfConfiguration failed before: the connection was still open after 5 s with a limit of 0.5 s. TestHeaderTimeoutThatHolds covers a limit that is lowered while a header is read, and one that arrives a byte at a time.

--- a/proxy/callerconn.go
+++ b/proxy/callerconn.go
@@ -23,8 +23,7 @@
 	callerServed
 )
 
-// lastLook is how long a connection is read for once more after its idle timeout. An
-// expired deadline hides bytes that have arrived, and a process whose processor time is
+// lastLook is how long a connection is read for once more after its timeout. An expired deadline hides bytes that have arrived, and a process whose processor time is
 // throttled may stand still for 100 ms before it reads them.
 const lastLook = 200 * time.Millisecond
 
@@ -81,7 +80,7 @@
 	case c.state == callerIdle && c.callers.retired.Load():
 		c.looking = true
 		deadline = time.Now().Add(lastLook)
-	case c.looking:
+	case c.state == callerIdle && c.looking:
 		deadline = time.Now().Add(lastLook)
 	case c.limit > 0:
 		deadline = c.since.Add(c.limit)
@@ -113,8 +112,11 @@
 	now := time.Now()
 	over := c.limit > 0 && !now.Before(c.since.Add(c.limit))
 	switch {
-	case c.state == callerHeader && over:
+	case c.state == callerHeader && over && c.looking:
 		return err
+	case c.state == callerHeader && over:
+		c.looking, c.limit = true, now.Sub(c.since)+lastLook
+		return nil
 	case c.state == callerHeader:
 		return nil
 	case !over && !c.callers.retired.Load():
@@ -142,7 +144,10 @@
 	case callerIdle:
 		return limits.IdleTimeout
 	case callerHeader:
-		return headerTimeoutCap
+		if limits.HeaderTimeout > 0 {
+			return limits.HeaderTimeout
+		}
+		return defaultHeaderTimeout
 	default:
 		return 0
 	}
--- a/proxy/callerconn_test.go
+++ b/proxy/callerconn_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,18 +19,17 @@
 
 	conn   *callerConn
 	caller net.Conn
-	now    cyclam.Limits
+	now    atomic.Pointer[cyclam.Limits]
 }
 
 func newTestCallers(idle time.Duration) *testCallers {
-	s := &testCallers{
-		now: cyclam.Limits{
-			IdleTimeout: idle,
-		},
-	}
+	s := &testCallers{}
+	s.now.Store(&cyclam.Limits{
+		IdleTimeout: idle,
+	})
 	s.callerConns = &callerConns{
 		log:    hclog.NewNullLogger(),
-		limits: func() cyclam.Limits { return s.now },
+		limits: func() cyclam.Limits { return *s.now.Load() },
 		conns:  map[*callerConn]struct{}{},
 	}
 	caller, inner := net.Pipe()
@@ -45,8 +45,15 @@
 
 // limitIdle puts another idle timeout in force.
 func (s *testCallers) limitIdle(idle time.Duration) {
-	s.now.IdleTimeout = idle
-	s.raise(s.now)
+	s.limit(cyclam.Limits{
+		IdleTimeout: idle,
+	})
+}
+
+// limit puts other limits in force.
+func (s *testCallers) limit(limits cyclam.Limits) {
+	s.now.Store(&limits)
+	s.raise(limits)
 }
 
 // The longest idle timeout that was in force while a connection was idle must hold for it:
@@ -225,3 +232,88 @@
 		})
 	}
 }
+
+// A caller must send the whole header within the configured time, whether its connection is
+// new or kept, and however little of it has come.
+func TestHeaderTimeoutOfConfiguration(t *testing.T) {
+	const limit = sweepInterval
+	for name, test := range map[string]struct {
+		requests int
+		length   int
+	}{
+		"new":       {requests: 0, length: 20},
+		"kept":      {requests: 1, length: 20},
+		"two bytes": {requests: 1, length: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := newIdleTest(t, time.Minute)
+			config := testConfig(2)
+			config.Limits.HeaderTimeout = limit
+			i.putInForce(config)
+			c := i.connect()
+			for range test.requests {
+				c.send(request())
+				if err := c.receive(); err != nil {
+					t.Fatal(err)
+				}
+			}
+			c.send(request()[:test.length])
+			began := time.Now()
+			_ = c.SetReadDeadline(began.Add(10 * limit))
+			if _, err := c.reader.ReadByte(); !errors.Is(err, io.EOF) {
+				t.Errorf("read: got %v, want the end of the connection", err)
+			}
+			if got, least := time.Since(began), limit; got < least {
+				t.Errorf("closed after %v, want at least %v", got, least)
+			}
+		})
+	}
+}
+
+// A header timeout that is lowered must not end a header that is being read; bytes that
+// arrive in the last look are read, but don't extend it.
+func TestHeaderTimeoutThatHolds(t *testing.T) {
+	const first = 10 * time.Second
+	for name, test := range map[string]struct {
+		lowered time.Duration
+		drips   bool
+	}{
+		"lowered": {lowered: time.Second},
+		"drips":   {lowered: first, drips: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newTestCallers(time.Minute)
+				defer s.conn.Close()
+				s.limit(cyclam.Limits{
+					HeaderTimeout: first,
+				})
+				began := time.Now()
+				done := make(chan struct{})
+				go func() {
+					defer close(done)
+					_, _ = io.WriteString(s.caller, "G")
+					<-time.After(time.Second)
+					s.limit(cyclam.Limits{
+						HeaderTimeout: test.lowered,
+					})
+					for test.drips {
+						if _, err := io.WriteString(s.caller, "E"); err != nil {
+							return
+						}
+						<-time.After(lastLook / 2)
+					}
+				}()
+				var err error
+				for err == nil {
+					_, err = s.conn.Read(make([]byte, 4096))
+				}
+				if got, want := time.Since(began), first+lastLook; got != want {
+					t.Errorf("ended after: got %v (%v), want %v", got, err, want)
+				}
+				_ = s.caller.Close()
+				<-done
+			})
+		})
+	}
+}
--- a/proxy/config.go
+++ b/proxy/config.go
@@ -64,6 +64,7 @@
 		"routes", len(config.Routes),
 		"services", len(config.Services),
 		"idle-timeout", config.Limits.IdleTimeout,
+		"header-timeout", config.Limits.HeaderTimeout,
 		"body-bytes", config.Limits.BodyBytes,
 		"header-bytes", config.Limits.HeaderBytes,
 	)
--- a/proxy/idle.go
+++ b/proxy/idle.go
@@ -11,14 +11,15 @@
 	"github.com/hashicorp/go-hclog"
 )
 
-// headerTimeoutCap bounds the reading of a request's header.
-const headerTimeoutCap = 30 * time.Second
+// defaultHeaderTimeout bounds the reading of a request's header if no configuration is
+// known or the one in force does not.
+const defaultHeaderTimeout = 30 * time.Second
 
 // defaultLimits apply until a configuration is known.
 var defaultLimits = cyclam.Limits{
 	HeaderBytes:   16 << 10,
 	BodyBytes:     64 << 20,
-	HeaderTimeout: headerTimeoutCap,
+	HeaderTimeout: defaultHeaderTimeout,
 	IdleTimeout:   time.Minute,
 }
 
--- a/proxy/idle_test.go
+++ b/proxy/idle_test.go
@@ -97,6 +97,12 @@
 	i.t.Helper()
 	config := testConfig(version)
 	config.Limits.IdleTimeout = limit
+	i.putInForce(config)
+}
+
+// putInForce puts a configuration in force.
+func (i *idleTest) putInForce(config cyclam.Config) {
+	i.t.Helper()
 	spec, err := json.Marshal(config)
 	if err != nil {
 		i.t.Fatal(err)
