End calls and the steps of a stop before the process exits

Cause: Stop waited for its calls until the time at which it has to return and then returned, with the calls still under way. The steps after that wait shared its context, which had ended: replies to other nodes were not flushed, the entry was not deleted, and nothing revoked the calls. A call that arrived during the stop had its caller's whole deadline, though the process would not live as long.

Mend: calls end 0.25 s before the return of Stop. Those that arrive during the stop hand their upstream only the time until then, so an upstream that keeps its deadline has ended by itself; the others are ended like at their deadline: refused if nothing can have run, else answered 504 and revoked. Answers and revocations, replies to other nodes and the entry follow, each with an end of its own before the next one's, and Stop returns at its time even if a step does not.

--- a/proxy/handle.go
+++ b/proxy/handle.go
@@ -61,6 +61,7 @@
 		})
 		return
 	}
+	n.endByExit(c)
 	c.version = t.Config.Version
 	c.service = n.serviceFor(route)
 	c.offer.Target = []byte(target)
@@ -72,6 +73,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	defer context.AfterFunc(n.calls, cancel)()
 	defer c.held.release()
 	end := c.run(ctx)
 	if end.completion.Outcome == cyclam.OutcomeDone {
--- a/proxy/node.go
+++ b/proxy/node.go
@@ -43,8 +43,11 @@
 	configHint chan versionHint
 	// prepared is set once Run has initialised everything that other methods use.
 	prepared atomic.Bool
-	// stop holds the times of a planned stop; nil until Stop is called.
-	stop atomic.Pointer[stopTimes]
+	// stop holds the times of a planned stop; nil until Stop is called. Calls end when the
+	// context calls does, which endCalls ends.
+	stop     atomic.Pointer[stopTimes]
+	calls    context.Context
+	endCalls context.CancelFunc
 	// grace is the time between Stop and the kill, in nanoseconds.
 	grace   atomic.Int64
 	server  *http.Server
@@ -128,6 +131,7 @@
 		Dialect: n.Dialect,
 		Dial:    n.Dial,
 	}
+	n.calls, n.endCalls = context.WithCancel(context.Background())
 	n.configHint = make(chan versionHint, 1)
 	n.wakeEntry = make(chan struct{}, 1)
 	n.fleet = newFleet(n.Settings.Self)
--- a/proxy/stop.go
+++ b/proxy/stop.go
@@ -21,6 +21,10 @@
 	acceptTime = 3 * time.Second
 	// exitMargin is kept free between the planned exit and the kill.
 	exitMargin = 700 * time.Millisecond
+	// closingTime is kept free between the end of the calls and the exit: half of it for
+	// the last answers to callers and revocations, the rest for the replies to other nodes
+	// and the entry. With a grace of 6 s, calls end in its last sixth.
+	closingTime = 250 * time.Millisecond
 	// exitPoll is the interval at which a stopping node checks whether it has drained.
 	exitPoll = 50 * time.Millisecond
 )
@@ -28,24 +32,28 @@
 // stopTimes are the times of a planned stop.
 type stopTimes struct {
 	began time.Time
-	// peersClosed is when the node stops accepting attempts from other nodes, and exit when
-	// the process may exit whatever is left.
+	// peersClosed is when the node stops accepting attempts from other nodes, callsEnd
+	// when its callers' requests must have ended, and exit when the process may exit
+	// whatever is left.
 	peersClosed time.Time
+	callsEnd    time.Time
 	exit        time.Time
 }
 
 func newStopTimes(began time.Time, grace time.Duration) *stopTimes {
+	exit := began.Add(grace - exitMargin)
 	return &stopTimes{
 		began:       began,
 		peersClosed: began.Add(peerGrace),
-		exit:        began.Add(grace - exitMargin),
+		callsEnd:    exit.Add(-closingTime),
+		exit:        exit,
 	}
 }
 
 // Stop shuts the node down gracefully. After a short period it accepts nothing
 // more from other nodes; callers are served until the platform has redirected
 // them, work in flight completes, and its answers are delivered. Stop returns
-// when the process may exit.
+// when the process may exit, exitMargin before the end of the grace at the latest.
 func (n *Node) Stop(ctx context.Context) {
 	if !n.prepared.Load() || !n.stopping.CompareAndSwap(false, true) {
 		return
@@ -57,15 +65,32 @@
 	n.Log.Info("stop-begun", "grace", grace)
 	ctx, cancel := context.WithDeadline(ctx, s.exit)
 	defer cancel()
-	await(ctx, s.exit, func() bool { return time.Since(s.began) >= deregisterDelay && n.drained() })
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		n.stopInOrder(ctx, s)
+	}()
+	select {
+	case <-stopped:
+	case <-ctx.Done():
+	}
+	n.Log.Info("node-stopped", "after", time.Since(s.began), "callers-in-flight", n.callersInFlight.Load(), "connections", n.callers.count(), "error", ctx.Err())
+}
+
+// stopInOrder takes the steps of a stop, those that concern requests first. Each of them
+// ends in time for the next one. A step that has nothing left to do ends at once.
+func (n *Node) stopInOrder(ctx context.Context, s *stopTimes) {
+	await(ctx, s.callsEnd, func() bool { return time.Since(s.began) >= deregisterDelay && n.drained() })
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
 	n.callers.shut()
-	await(ctx, s.exit, func() bool { return n.callers.count() == 0 && n.drained() })
+	quiet := func() bool { return n.callers.count() == 0 && n.drained() }
+	await(ctx, s.callsEnd, quiet)
+	n.endCalls()
+	await(ctx, s.callsEnd.Add(closingTime/2), quiet)
+	n.closePeers(ctx, s.exit.Add(-closingTime/4))
 	n.deleteEntry(ctx)
-	n.closePeers(ctx)
-	n.Log.Info("node-stopped", "after", time.Since(s.began), "callers-in-flight", n.callersInFlight.Load(), "connections", n.callers.count(), "error", ctx.Err())
 }
 
 // await waits until ok or the deadline.
@@ -93,14 +118,27 @@
 	switch {
 	case s == nil:
 		return false
-	case !now.Before(s.exit):
+	case !now.Before(s.callsEnd):
 		return true
 	case now.Before(s.began.Add(deregisterDelay)):
 		return false
 	case now.Before(s.began.Add(acceptTime)):
-		return c.goal.After(s.exit)
+		return c.goal.After(s.callsEnd)
+	}
+	return c.deadline.After(s.callsEnd)
+}
+
+// endByExit lets a call that has arrived during a stop end before the process exits: its
+// upstream gets the time that is left, so that nothing has to be cut at the exit.
+func (n *Node) endByExit(c *call) {
+	s := n.stop.Load()
+	if s == nil || !c.deadline.After(s.callsEnd) {
+		return
+	}
+	c.deadline = s.callsEnd
+	if c.goal.After(c.deadline) {
+		c.goal = c.deadline
 	}
-	return c.deadline.After(s.exit)
 }
 
 // drained reports whether no caller waits, nothing runs or waits at the local upstream,
@@ -124,10 +162,13 @@
 // answer any more.
 const closeTimeout = 500 * time.Millisecond
 
-// closePeers closes the connections to other nodes once buffered replies have been sent.
-func (n *Node) closePeers(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
+// closePeers closes the connections to other nodes once buffered replies have been sent,
+// until the deadline at the latest.
+func (n *Node) closePeers(ctx context.Context, deadline time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	ctx, cancelTimeout := context.WithTimeout(ctx, closeTimeout)
+	defer cancelTimeout()
 	closed := make(chan struct{})
 	go func() {
 		defer close(closed)
--- a/proxy/stop_test.go
+++ b/proxy/stop_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -9,8 +10,77 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
 )
 
+// stopLatest is when a stop of a node of the tests must have ended. A tenth of a second is
+// for the tests' own delays.
+const stopLatest = 6*time.Second - exitMargin + 100*time.Millisecond
+
+// Each call must have an answer by the time at which the process exits, though its upstream
+// is still at work: callers can't tell a closed connection from a lost answer.
+func TestStopAnswersCallsBeforeExit(t *testing.T) {
+	s := newPatientCluster(t)
+	u := newUpstream(t, "u1")
+	u.work = respondAfter(10 * time.Second)
+	backend, ingress := s.start("door", u, nil), s.start("front", nil, nil)
+	s.awaitReady(backend, ingress)
+	answered := make(chan int, 2)
+	ask := func() {
+		status, _, _, err := s.request(t.Context(), ingress, http.MethodPost, "/book/x", 7*time.Second)
+		if err != nil {
+			t.Errorf("request: %v", err)
+		}
+		answered <- status
+	}
+	go ask()
+	s.waitFor("the upstream works", func() bool { return u.runs.Load() == 1 })
+	took := timeStop(t, ingress)
+	<-time.After(time.Second)
+	go ask()
+	if got := <-took; got > stopLatest {
+		t.Errorf("stop: got %v, want at most %v", got, stopLatest)
+	}
+	for range 2 {
+		select {
+		case got := <-answered:
+			if want := http.StatusGatewayTimeout; got != want {
+				t.Errorf("status: got %d, want %d", got, want)
+			}
+		default:
+			t.Error("got no answer when the stop has ended, want one")
+		}
+	}
+	s.waitFor("the runs are cut", func() bool { return u.cancelled.Load() == 2 })
+}
+
+// A call that arrives during a stop gives its upstream only the time until the process
+// exits.
+func TestStopShortensDeadlines(t *testing.T) {
+	s := newPatientCluster(t)
+	u := newUpstream(t, "u1")
+	var given atomic.Int64
+	u.work = func(_ http.ResponseWriter, r *http.Request) {
+		wait, err := time.ParseDuration(r.Header.Get("X-Wait"))
+		if err != nil {
+			t.Error(err)
+		}
+		given.Store(int64(wait))
+	}
+	backend, ingress := s.start("door", u, nil), s.start("front", nil, nil)
+	s.awaitReady(backend, ingress)
+	began := time.Now()
+	go ingress.Stop(t.Context())
+	s.waitFor("the node is stopping", func() bool { return ingress.stop.Load() != nil })
+	if status, _, _, err := s.request(t.Context(), ingress, http.MethodPost, "/book/x", 7*time.Second); err != nil || status != http.StatusOK {
+		t.Fatalf("status: got %d, %v, want 200", status, err)
+	}
+	if got, most := time.Duration(given.Load()), time.Until(began.Add(6*time.Second-exitMargin)); got == 0 || got > most+100*time.Millisecond {
+		t.Errorf("time of the upstream: got %v, want at most %v", got, most)
+	}
+}
+
 // A connection on which nothing was ever sent must not hold up a stop.
 func TestStopClosesUnusedConnections(t *testing.T) {
 	s := newTestCluster(t)
@@ -31,6 +101,57 @@
 	}
 }
 
+// hungPlatform is a platform that does not answer a deletion.
+type hungPlatform struct {
+	*memPlatform
+
+	asked atomic.Int64
+}
+
+// Delete waits until ctx ends.
+func (p *hungPlatform) Delete(ctx context.Context, _ cyclam.Key, _ cyclam.Position) error {
+	if ctx.Err() == nil {
+		p.asked.Add(1)
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// A stop must end in time, and the entry's deletion must have been tried, though a caller
+// never ends its request, an upstream works on and the store does not answer.
+func TestStopEndsInTime(t *testing.T) {
+	s := newPatientCluster(t)
+	u := newUpstream(t, "u1")
+	u.work = respondAfter(10 * time.Second)
+	backend := s.node("door", u, nil)
+	platform := &hungPlatform{
+		memPlatform: s.platform,
+	}
+	backend.Platform = platform
+	s.run(backend)
+	ingress := s.start("front", nil, nil)
+	s.awaitReady(backend, ingress)
+	half, err := net.Dial("tcp", backend.Settings.Callers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer half.Close()
+	if _, err := io.WriteString(half, request()[:20]); err != nil {
+		t.Fatal(err)
+	}
+	go func() { _, _, _, _ = s.request(t.Context(), ingress, http.MethodPost, "/book/x", 7*time.Second) }()
+	s.waitFor("the upstream works", func() bool { return u.runs.Load() == 1 })
+	if err := backend.Withdraw("u1", time.Time{}); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-timeStop(t, backend); got > stopLatest {
+		t.Errorf("stop: got %v, want at most %v", got, stopLatest)
+	}
+	if got := platform.asked.Load(); got != 1 {
+		t.Errorf("deletions: got %d, want 1", got)
+	}
+}
+
 // A stopping node must answer each request that it passes on, though callers use their
 // connections around the time at which it closes those that are idle.
 func TestStopAnswersWhatItPassesOn(t *testing.T) {
