Bound the flush of the log when the process exits

A process whose output nobody reads did not exit: LogWriter.Close waited for its last line to be written, after everything else had ended, until the platform killed the process.

Close gives up after 0.2 s, a part of the 0.7 s that Stop leaves.

TestCloseOfBlockedOutput failed before: "Close has not ended after 700ms".

--- a/proxy/logwriter.go
+++ b/proxy/logwriter.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // LogWriter writes log lines to an output in the background, so that a slow reader
@@ -70,8 +71,16 @@
 	}
 }
 
-// Close writes the buffered lines and stops the writer.
+// flushTimeout bounds Close: the process has to exit, also if nobody reads its output. It
+// is a part of exitMargin.
+const flushTimeout = 200 * time.Millisecond
+
+// Close writes the buffered lines and stops the writer. Lines that can't be written within
+// flushTimeout are lost.
 func (w *LogWriter) Close() {
 	w.once.Do(func() { close(w.closing) })
-	<-w.done
+	select {
+	case <-w.done:
+	case <-time.After(flushTimeout):
+	}
 }
--- a/proxy/logwriter_test.go
+++ b/proxy/logwriter_test.go
@@ -41,3 +41,22 @@
 		t.Errorf("lines: got %d, want some and fewer than %d", got, most)
 	}
 }
+
+// Close must end though nobody reads the output: a process that waits for its reader is
+// killed with what it has left to do.
+func TestCloseOfBlockedOutput(t *testing.T) {
+	r, out := io.Pipe()
+	defer r.Close()
+	w := NewLogWriter(out)
+	_, _ = w.Write([]byte("line\n"))
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		w.Close()
+	}()
+	select {
+	case <-closed:
+	case <-time.After(exitMargin):
+		t.Errorf("Close has not ended after %v", exitMargin)
+	}
+}
