--- a/proxy/config.go
+++ b/proxy/config.go
@@ -52,6 +52,7 @@
 	if !added {
 		return
 	}
+	n.callers.raise(config.Limits)
 	if before.version == config.Version {
 		n.meters.countReissued()
 		n.Log.Warn("config-version-reissued", "version", config.Version, "source", source, "old-era", before.era, "new-era", era)
@@ -63,6 +64,7 @@
 		"routes", len(config.Routes),
 		"services", len(config.Services),
 		"idle-timeout", config.Limits.IdleTimeout,
+		"header-timeout", config.Limits.HeaderTimeout,
 		"body-bytes", config.Limits.BodyBytes,
 		"header-bytes", config.Limits.HeaderBytes,
 	)
--- a/proxy/handle.go
+++ b/proxy/handle.go
@@ -55,12 +55,13 @@
 		return
 	}
 	c := n.newCall(r, meta, route, began)
-	if n.outlastsProcess(began, c.deadline.Sub(began)) {
+	if n.outlastsProcess(began, c) {
 		n.answer(w, r, meta.ID, began, nil, result{
 			completion: cyclam.Refused(cyclam.ReasonDraining, minRetryAfter),
 		})
 		return
 	}
+	n.endByExit(c)
 	c.version = t.Config.Version
 	c.service = n.serviceFor(route)
 	c.offer.Target = []byte(target)
@@ -72,6 +73,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	defer context.AfterFunc(n.calls, cancel)()
 	defer c.held.release()
 	end := c.run(ctx)
 	if end.completion.Outcome == cyclam.OutcomeDone {
--- a/proxy/node.go
+++ b/proxy/node.go
@@ -43,14 +43,16 @@
 	configHint chan versionHint
 	// prepared is set once Run has initialised everything that other methods use.
 	prepared atomic.Bool
-	// exitAt is when a stopping process must have exited; closeAt is when it stops
-	// accepting requests from other nodes. Both are nil until Stop is called.
-	exitAt  atomic.Pointer[time.Time]
-	closeAt atomic.Pointer[time.Time]
+	// stop holds the times of a planned stop; nil until Stop is called. Calls end when the
+	// context calls does, which endCalls ends.
+	stop     atomic.Pointer[stopTimes]
+	calls    context.Context
+	endCalls context.CancelFunc
 	// grace is the time between Stop and the kill, in nanoseconds.
-	grace  atomic.Int64
-	server *http.Server
-	peers  *grpc.Server
+	grace   atomic.Int64
+	server  *http.Server
+	callers callerConns
+	peers   *grpc.Server
 
 	current       atomic.Pointer[router.Table]
 	configHistory configHistory
@@ -129,6 +131,7 @@
 		Dialect: n.Dialect,
 		Dial:    n.Dial,
 	}
+	n.calls, n.endCalls = context.WithCancel(context.Background())
 	n.configHint = make(chan versionHint, 1)
 	n.wakeEntry = make(chan struct{}, 1)
 	n.fleet = newFleet(n.Settings.Self)
@@ -213,6 +216,7 @@
 			if now.Sub(lastExpiry) >= time.Second {
 				lastExpiry = now
 				n.origin.Expire()
+				n.callers.logClosed()
 				n.logRateLimit(now)
 				n.recheckRateLimit(ctx, now)
 				n.mu.Lock()
@@ -228,28 +232,26 @@
 	}
 }
 
-// serveCallers runs the HTTP server for callers until the context ends.
+// serveCallers runs the HTTP server for callers until the context ends. The server has no
+// time-outs of its own: callerConn applies those of the configuration in force.
 func (n *Node) serveCallers(ctx context.Context, group *errgroup.Group, listener net.Listener) {
-	idle := &idleConns{
-		log:    n.Log,
-		since:  map[net.Conn]time.Time{},
-		closed: map[net.Conn]time.Time{},
-	}
+	n.callers.Listener = listener
+	n.callers.log, n.callers.limits = n.Log, n.limits
+	n.callers.conns = map[*callerConn]struct{}{}
 	n.server = &http.Server{
-		Handler:           http.HandlerFunc(n.handle),
-		ReadHeaderTimeout: headerTimeoutCap,
-		ConnState:         idle.track,
-		ErrorLog:          n.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		Handler:   http.HandlerFunc(n.handle),
+		ConnState: n.callers.track,
+		ErrorLog:  n.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	group.Go(func() error {
-		err := n.server.Serve(listener)
+		err := n.server.Serve(&n.callers)
 		if errors.Is(err, http.ErrServerClosed) {
 			return nil
 		}
 		return cyclam.AtStep("serve callers", listener.Addr().String(), err)
 	})
 	group.Go(func() error {
-		idle.sweep(ctx, n.limits)
+		<-ctx.Done()
 		return errors.Wrap(n.server.Close(), "close callers' server")
 	})
 }
--- a/proxy/stop.go
+++ b/proxy/stop.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const (
@@ -13,60 +15,130 @@
 	// It is shorter than deregisterDelay because callers keep arriving for longer
 	// and the local upstream keeps running for them.
 	peerGrace = 1200 * time.Millisecond
+	// acceptTime is how long a stopping node accepts requests whose deadline lies beyond
+	// its exit. The platform does not count requests sent until then as lost if their
+	// upstream is still at work in the last sixth of the grace.
+	acceptTime = 3 * time.Second
 	// exitMargin is kept free between the planned exit and the kill.
 	exitMargin = 700 * time.Millisecond
+	// closingTime is kept free between the end of the calls and the exit: half of it for
+	// the last answers to callers and revocations, the rest for the replies to other nodes
+	// and the entry. With a grace of 6 s, calls end in its last sixth.
+	closingTime = 250 * time.Millisecond
 	// exitPoll is the interval at which a stopping node checks whether it has drained.
 	exitPoll = 50 * time.Millisecond
 )
 
+// stopTimes are the times of a planned stop.
+type stopTimes struct {
+	began time.Time
+	// peersClosed is when the node stops accepting attempts from other nodes, callsEnd
+	// when its callers' requests must have ended, and exit when the process may exit
+	// whatever is left.
+	peersClosed time.Time
+	callsEnd    time.Time
+	exit        time.Time
+}
+
+func newStopTimes(began time.Time, grace time.Duration) *stopTimes {
+	exit := began.Add(grace - exitMargin)
+	return &stopTimes{
+		began:       began,
+		peersClosed: began.Add(peerGrace),
+		callsEnd:    exit.Add(-closingTime),
+		exit:        exit,
+	}
+}
+
 // Stop shuts the node down gracefully. After a short period it accepts nothing
 // more from other nodes; callers are served until the platform has redirected
 // them, work in flight completes, and its answers are delivered. Stop returns
-// when the process may exit.
+// when the process may exit, exitMargin before the end of the grace at the latest.
 func (n *Node) Stop(ctx context.Context) {
 	if !n.prepared.Load() || !n.stopping.CompareAndSwap(false, true) {
 		return
 	}
-	began := time.Now()
 	grace := time.Duration(n.grace.Load())
-	exitAt := began.Add(grace - exitMargin)
-	closeAt := began.Add(peerGrace)
-	n.exitAt.Store(&exitAt)
-	n.closeAt.Store(&closeAt)
+	s := newStopTimes(time.Now(), grace)
+	n.stop.Store(s)
 	time.AfterFunc(peerGrace, n.requestEntryWrite)
 	n.Log.Info("stop-begun", "grace", grace)
-	for time.Since(began) < deregisterDelay || !n.drained() && time.Now().Before(exitAt) {
-		select {
-		case <-ctx.Done():
+	ctx, cancel := context.WithDeadline(ctx, s.exit)
+	defer cancel()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		n.stopInOrder(ctx, s)
+	}()
+	select {
+	case <-stopped:
+	case <-ctx.Done():
+	}
+	n.Log.Info("node-stopped", "after", time.Since(s.began), "callers-in-flight", n.callersInFlight.Load(), "connections", n.callers.count(), "error", ctx.Err())
+}
+
+// stopInOrder takes the steps of a stop, those that concern requests first. Each of them
+// ends in time for the next one. A step that has nothing left to do ends at once.
+func (n *Node) stopInOrder(ctx context.Context, s *stopTimes) {
+	await(ctx, s.callsEnd, func() bool { return time.Since(s.began) >= deregisterDelay && n.drained() })
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
+	n.callers.shut()
+	quiet := func() bool { return n.callers.count() == 0 && n.drained() }
+	await(ctx, s.callsEnd, quiet)
+	n.endCalls()
+	await(ctx, s.callsEnd.Add(closingTime/2), quiet)
+	n.closePeers(ctx, s.exit.Add(-closingTime/4))
+	n.deleteEntry(ctx)
+}
+
+// await waits until ok or the deadline.
+func await(ctx context.Context, deadline time.Time, ok func() bool) {
+	for !ok() {
+		left := time.Until(deadline)
+		if left <= 0 || !sleep(ctx, min(left, exitPoll)) {
 			return
-		case <-time.After(exitPoll):
 		}
 	}
-	ctx, cancel := context.WithDeadline(ctx, exitAt)
-	defer cancel()
-	err := n.server.Shutdown(ctx)
-	n.deleteEntry(ctx)
-	n.closePeers(ctx)
-	n.Log.Info("node-stopped", "after", time.Since(began), "callers-in-flight", n.callersInFlight.Load(), "error", err)
 }
 
 // closedToPeers reports whether a stopping node no longer accepts attempts from
 // other nodes.
 func (n *Node) closedToPeers(now time.Time) bool {
-	closeAt := n.closeAt.Load()
-	return closeAt != nil && !now.Before(*closeAt)
+	s := n.stop.Load()
+	return s != nil && !now.Before(s.peersClosed)
 }
 
-// outlastsProcess reports whether a request with this timeout may still run when
-// the process exits. Until the platform has had time to notice the stop, all
-// requests are accepted.
-func (n *Node) outlastsProcess(now time.Time, timeout time.Duration) bool {
-	exitAt := n.exitAt.Load()
-	closeAt := n.closeAt.Load()
-	if exitAt == nil || closeAt == nil || now.Before(closeAt.Add(deregisterDelay-peerGrace)) {
+// outlastsProcess reports whether a call that arrives now may still run when the process
+// exits, and is to be refused for that. Until the platform has had time to notice the stop,
+// all calls are accepted, and for a little longer those whose goal can be met.
+func (n *Node) outlastsProcess(now time.Time, c *call) bool {
+	s := n.stop.Load()
+	switch {
+	case s == nil:
 		return false
+	case !now.Before(s.callsEnd):
+		return true
+	case now.Before(s.began.Add(deregisterDelay)):
+		return false
+	case now.Before(s.began.Add(acceptTime)):
+		return c.goal.After(s.callsEnd)
+	}
+	return c.deadline.After(s.callsEnd)
+}
+
+// endByExit lets a call that has arrived during a stop end before the process exits: its
+// upstream gets the time that is left, so that nothing has to be cut at the exit.
+func (n *Node) endByExit(c *call) {
+	s := n.stop.Load()
+	if s == nil || !c.deadline.After(s.callsEnd) {
+		return
+	}
+	c.deadline = s.callsEnd
+	if c.goal.After(c.deadline) {
+		c.goal = c.deadline
 	}
-	return now.Add(timeout).After(*exitAt)
 }
 
 // drained reports whether no caller waits, nothing runs or waits at the local upstream,
@@ -90,10 +162,13 @@
 // answer any more.
 const closeTimeout = 500 * time.Millisecond
 
-// closePeers closes the connections to other nodes once buffered replies have been sent.
-func (n *Node) closePeers(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
+// closePeers closes the connections to other nodes once buffered replies have been sent,
+// until the deadline at the latest.
+func (n *Node) closePeers(ctx context.Context, deadline time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	ctx, cancelTimeout := context.WithTimeout(ctx, closeTimeout)
+	defer cancelTimeout()
 	closed := make(chan struct{})
 	go func() {
 		defer close(closed)
