Skip bytes of no request instead of giving up the run

Callers got 502 (answer-lost) for a request at which the upstream worked, with time left, also while their node was being stopped. A run that waited for a slot starts microseconds after another answer has ended and reuses its connection; what still came for that answer met the new run and ended it: a line that is no status line or the rest of a body at once, copies and interim answers from the third on.

What comes before the answer is skipped now, within 1 MiB; only the connection's end, the bound or the context ends the exchange. The upstream has a request's id only from the request, so a head with the id is that of its answer or of a copy. To keep a part of a body from being taken for it:

- Another answer is skipped by its framing and its body is not searched.
- Bytes that are no answer are searched for the next status line.
If the id stands in them, the upstream has answered and can't be understood: the exchange ends (ErrIllegible), as what looks like the answer later may be in its body.
- A status line within a line of a head may be where an answer begins after one whose head was cut short; such a head is not believed on a connection that has carried more.
- Refusals without an id are believed only if no unframed bytes preceded them.

A connection that carried bytes of another request or of none is closed after the answer. What can still cost a run is an answer to another request that states a length, is cut short on a connection that stays open, and so swallows the answer; the run then ends with its deadline.

Runs among such bytes are logged (stray-bytes-skipped).

--- a/origin/conn.go
+++ b/origin/conn.go
@@ -6,6 +6,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -19,6 +20,8 @@
 	net.Conn
 
 	reader *bufio.Reader
+	// returned holds bytes that were read and are to be read again.
+	returned []byte
 	// readable is how many more bytes may be read.
 	readable int
 	// idleSince is when the last exchange ended; the connection may be reused
@@ -41,8 +44,27 @@
 // don't count.
 func (c *conn) allow(bytes int) { c.readable = bytes }
 
-// Read reads from the socket. It returns ErrTooLong once the allowed bytes have been read.
+// unread makes the last bytes that were read the next ones. It returns the memory that
+// holds them, which is that of space if they fit.
+func (c *conn) unread(b, space []byte) []byte {
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	held := slices.Grow(space[:0], len(b)+len(buffered)+len(c.returned))
+	held = append(append(append(held, b...), buffered...), c.returned...)
+	c.returned = held
+	c.reader.Reset(c)
+	return held
+}
+
+// pending returns how many bytes can be read without reading from the socket.
+func (c *conn) pending() int { return c.reader.Buffered() + len(c.returned) }
+
+// Read reads what was returned, and then from the socket. It returns ErrTooLong once the allowed bytes have been read.
 func (c *conn) Read(p []byte) (int, error) {
+	if len(c.returned) > 0 {
+		n := copy(p, c.returned)
+		c.returned = c.returned[n:]
+		return n, nil
+	}
 	if c.readable <= 0 {
 		return 0, ErrTooLong
 	}
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -41,6 +41,9 @@
 	// Length is the length of the body in bytes, or -1 if it is not declared.
 	Length int64
 	Meta   cyclam.AnswerMeta
+	// Skipped is how many bytes that belong to no request, or to another one, came
+	// before the answer.
+	Skipped int
 
 	// closesConn is set if the connection can't be reused after this answer.
 	closesConn bool
@@ -57,8 +60,8 @@
 var (
 	// ErrNotSent means that no byte of the request was sent.
 	ErrNotSent = errors.New("upstream does not accept connections")
-	// ErrForeign means that the answers received belong to other requests.
-	ErrForeign = errors.New("answer belongs to another request")
+	// ErrIllegible means that the request's id has arrived in bytes that are no answer.
+	ErrIllegible = errors.New("illegible answer")
 	// ErrTooLong means that the head of an answer, or what is skipped before an answer,
 	// exceeds its bound.
 	ErrTooLong = errors.New("answer exceeds the bound on its length")
@@ -92,13 +95,6 @@
 	nonIdempotentIdleLimit = 500 * time.Millisecond
 	// chunkSize is the largest chunk, in bytes, in which a body is read.
 	chunkSize = 32 << 10
-	// maxAnswerReads bounds how many answers are read for one request, including
-	// interim (1xx) answers and late answers to earlier requests.
-	maxAnswerReads = 3
-	// maxHeadBytes bounds the head of an answer, maxSkippedBytes the body of an answer
-	// to another request: an upstream in trouble may write either without end.
-	maxHeadBytes    = 64 << 10
-	maxSkippedBytes = 1 << 20
 )
 
 // Do sends a request and passes its answer to the sink. It returns an error that
@@ -155,69 +151,10 @@
 		c.abort()
 		<-sent
 	}
-	keep := reusable && err == nil && !head.closesConn && c.reader.Buffered() == 0
+	keep := reusable && err == nil && !head.closesConn && c.pending() == 0
 	return keep, err
 }
 
-// readAnswer reads the head of the answer to a request. It skips interim answers
-// and late answers to other requests.
-func (p *Pool) readAnswer(c *conn, req Request) (Head, io.Reader, error) {
-	defer c.allow(unbounded)
-	for range maxAnswerReads {
-		c.allow(maxHeadBytes)
-		resp, err := http.ReadResponse(c.reader, &http.Request{
-			Method: req.Method,
-		})
-		if err != nil {
-			return Head{}, nil, errors.Wrap(err, "read answer")
-		}
-		if resp.StatusCode < http.StatusOK {
-			continue
-		}
-		meta := p.Dialect.ParseAnswer(resp.StatusCode, resp.Header)
-		// Refusals may lack the request's id: the upstream did not run the
-		// request, or another upstream listens at the address. A late copy of one
-		// could not be told from the answer to the next request, so the connection
-		// is not reused.
-		anonymous := meta.ID == "" && (meta.NotRun || meta.Misdirected)
-		if req.ID != "" && meta.ID != req.ID && !anonymous {
-			c.allow(maxSkippedBytes)
-			if err := skipBody(resp); err != nil {
-				return Head{}, nil, err
-			}
-			continue
-		}
-		if resp.StatusCode < http.StatusMultipleChoices && req.ID != "" && !meta.Signed {
-			return Head{}, nil, ErrUnsigned
-		}
-		c.idleTimeout = parseKeepAlive(resp.Header)
-		return Head{
-			Status:     resp.StatusCode,
-			Header:     resp.Header,
-			Length:     resp.ContentLength,
-			Meta:       meta,
-			closesConn: resp.Close || delimitedByClose(resp) || anonymous,
-		}, resp.Body, nil
-	}
-	return Head{}, nil, ErrForeign
-}
-
-// delimitedByClose reports whether the end of the connection marks the end of the
-// body.
-func delimitedByClose(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-}
-
-// skipBody discards the body of an answer to another request. It returns
-// ErrForeign if no further answer can follow on the connection.
-func skipBody(resp *http.Response) error {
-	if resp.Close || delimitedByClose(resp) {
-		return ErrForeign
-	}
-	_, err := io.Copy(io.Discard, resp.Body)
-	return errors.Wrap(err, "skip answer to another request")
-}
-
 // copyBody streams a body to the sink. The body is complete only if Read returns
 // io.EOF; any other error means that it is truncated.
 func copyBody(body io.Reader, length int64, sink Sink) error {
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -155,6 +155,9 @@
 		Idempotent: j.offer.Idempotent,
 	}, sink)
 	run, last := n.classifyRun(j, sink, err, time.Since(began))
+	if sink.skipped > 0 {
+		n.Log.Info("stray-bytes-skipped", append(n.jobFields(j), "bytes", sink.skipped)...)
+	}
 	if err == nil && sink.status < http.StatusInternalServerError {
 		n.recordAnswerBytes(j.offer.Route, sink.bytes)
 	}
@@ -247,11 +250,13 @@
 	meta    cyclam.AnswerMeta
 	status  int
 	bytes   int
+	// skipped is how many bytes of no request came before the answer.
+	skipped int
 }
 
 // Head appends the head of the answer, unless the upstream did not run the request.
 func (s *jobSink) Head(h origin.Head) error {
-	s.meta, s.status = h.Meta, h.Status
+	s.meta, s.status, s.skipped = h.Meta, h.Status, h.Skipped
 	s.observe(h.Meta)
 	if h.Meta.NotRun || h.Meta.Misdirected {
 		return nil
