Send requests that may run once on connections of their own

Callers could lose the answer of a request that must not run twice to what its connection had carried before: bytes that swallow the answer, or a reset because the upstream had dropped the connection as idle. Such an outcome is unknown and can't be repeated. The pool reused connections that had been idle for up to 0.5 s, the one that had answered last first.

A request that may run once now has a new connection, which is closed after its answer: nothing else can arrive there. A rest time was weighed against it. It costs no connections, but a late answer comes when the next one is expected, so that no rest excludes it, and the longer the rest, the likelier the upstream has dropped the connection. HEAD has its own connection too, as a copy of its answer can't be framed.

Requests that may be repeated share connections as before, as stray bytes are skipped and their outcome can be mended. Of the idle ones, the one used last is taken among those that have been idle for 20 ms, else the one idle for longest, so that one that has just answered is the last choice and long-idle ones are left to expire.

TestOnceOnlyRequestHasOwnConnection failed before:

connections: got 1, want 3

--- a/origin/conn.go
+++ b/origin/conn.go
@@ -104,32 +104,41 @@
 	probeCount    = 2
 )
 
-// get returns a reusable idle connection, or a new one if there is none. For
-// requests that are not idempotent, only recently used connections are reused.
-func (p *Pool) get(ctx context.Context, idempotent bool) (*conn, error) {
-	for {
-		c := p.pop()
+// get returns an idle connection that can be reused, or a new one if there is none or if
+// fresh is set.
+func (p *Pool) get(ctx context.Context, fresh bool) (*conn, error) {
+	for !fresh {
+		c := p.take(time.Now())
 		if c == nil {
-			return p.open(ctx)
+			break
 		}
 		idleFor := time.Since(c.idleSince)
-		if idleFor < c.idleTimeout && (idempotent || idleFor < nonIdempotentIdleLimit) && c.stopIdleRead() {
+		if idleFor < c.idleTimeout && c.stopIdleRead() {
 			c.rested, c.reused = idleFor, true
 			return c, nil
 		}
 		c.close()
 	}
+	return p.open(ctx)
 }
 
-func (p *Pool) pop() *conn {
+// take removes an idle connection from the pool: the one used last of those that have been
+// idle for restTime, as an upstream drops connections that are idle for long; without such
+// a one, the one that has been idle for longest.
+func (p *Pool) take(now time.Time) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	last := len(p.idle) - 1
-	if last < 0 {
+	if len(p.idle) == 0 {
 		return nil
 	}
-	c := p.idle[last]
-	p.idle = p.idle[:last]
+	chosen := 0
+	for i, c := range p.idle {
+		if now.Sub(c.idleSince) >= restTime {
+			chosen = i
+		}
+	}
+	c := p.idle[chosen]
+	p.idle = slices.Delete(p.idle, chosen, chosen+1)
 	return c
 }
 
--- /dev/null
+++ b/origin/conn_test.go
@@ -0,0 +1,69 @@
+package origin
+
+import (
+	"net/http"
+	"testing"
+	"time"
+)
+
+// A request that may run only once must have a connection on which nothing else can arrive.
+func TestOnceOnlyRequestHasOwnConnection(t *testing.T) {
+	s := newScriptedUpstream(t, signedAnswer, signedAnswer, signedAnswer)
+	p := newPool(s.address)
+	once := func(id string) {
+		t.Helper()
+		if err := p.Do(t.Context(), Request{
+			ID:     id,
+			Method: http.MethodPost,
+			Host:   "h.example",
+			Target: "/",
+			Header: http.Header{"X-Id": {id}},
+			Body:   []byte("body"),
+		}, &recordingSink{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := do(t, p, "first"); err != nil {
+		t.Fatal(err)
+	}
+	once("second")
+	once("third")
+	if got, want := s.conns.Load(), int64(3); got != want {
+		t.Errorf("connections: got %d, want %d", got, want)
+	}
+	if _, err := do(t, p, "fourth"); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := s.conns.Load(), int64(3); got != want {
+		t.Errorf("connections after one that may be repeated: got %d, want %d", got, want)
+	}
+}
+
+// Of the idle connections, one that has just carried an answer is the last choice.
+func TestChoiceOfIdleConnection(t *testing.T) {
+	now := time.Now()
+	for _, c := range []struct {
+		name string
+		idle []time.Duration
+		want time.Duration
+	}{
+		{name: "none rested", idle: []time.Duration{15 * time.Millisecond, 10 * time.Millisecond, 0}, want: 15 * time.Millisecond},
+		{name: "one rested", idle: []time.Duration{time.Second, 10 * time.Millisecond, 0}, want: time.Second},
+		{name: "two rested", idle: []time.Duration{3 * time.Second, time.Second, 0}, want: time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := newPool("")
+			for _, d := range c.idle {
+				p.idle = append(p.idle, &conn{
+					idleSince: now.Add(-d),
+				})
+			}
+			if got := now.Sub(p.take(now).idleSince); got != c.want {
+				t.Errorf("got the one idle for %v, want %v", got, c.want)
+			}
+			if got, want := len(p.idle), len(c.idle)-1; got != want {
+				t.Errorf("idle afterwards: got %d, want %d", got, want)
+			}
+		})
+	}
+}
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -89,10 +89,9 @@
 	// defaultIdleTimeout is how long an idle connection is kept if the upstream
 	// advertises no idle timeout.
 	defaultIdleTimeout = 4 * time.Second
-	// nonIdempotentIdleLimit is the longest idle time after which a connection is
-	// reused for a request that is not idempotent: the upstream may have closed
-	// the connection, and such a request must not be retried.
-	nonIdempotentIdleLimit = 500 * time.Millisecond
+	// restTime is how long a connection should have been idle before it is reused: an
+	// upstream on the same machine has delivered by then what it writes after an answer.
+	restTime = 20 * time.Millisecond
 	// chunkSize is the largest chunk, in bytes, in which a body is read.
 	chunkSize = 32 << 10
 )
@@ -101,13 +100,14 @@
 // wraps ErrNotSent if no connection could be opened, and the context's error if
 // the exchange fails after the context ended.
 func (p *Pool) Do(ctx context.Context, req Request, sink Sink) error {
-	c, err := p.get(ctx, req.Idempotent)
+	alone := needsOwnConnection(req)
+	c, err := p.get(ctx, alone)
 	if err != nil {
 		return errors.Wrap(ErrNotSent, err.Error())
 	}
 	stop := context.AfterFunc(ctx, c.abort)
 	reusable, err := p.exchange(c, req, sink)
-	if !stop() || err != nil || !reusable {
+	if !stop() || err != nil || !reusable || alone {
 		c.close()
 		if err != nil && ctx.Err() != nil {
 			return ctx.Err()
@@ -121,6 +121,15 @@
 	return nil
 }
 
+// needsOwnConnection reports whether a request is sent on a new connection, which is closed
+// after its answer. Nothing can arrive there for another request, and the upstream can't
+// have dropped it as idle; a request that must not run twice can't be sent again if either
+// costs its answer. The answer to HEAD has a length but no body, so that a copy of it could
+// not be skipped.
+func needsOwnConnection(req Request) bool {
+	return !req.Idempotent || req.Method == http.MethodHead
+}
+
 func (p *Pool) exchange(c *conn, req Request, sink Sink) (bool, error) {
 	sent := make(chan error, 1)
 	if len(req.Body) == 0 {
