Send nothing of a request whose context has ended

An upstream began to work for a caller that had left: a request that was revoked between its start and its sending was sent on a reused connection, and its outcome counted as unknown. Only opening a connection looked at the context, so a reused one was written to at once, beside the close that the context's end had started.

The context is looked at before a connection is taken and once more before the request is written. The bytes that a connection has taken are counted: if it has taken none, for whatever reason, the error wraps ErrNotSent, so that the caller learns that the request did not run. A reused connection that takes none, as the upstream has closed it, is replaced by a new one; that is no second sending, and such a request ended as unknown before:

--- FAIL: TestIdleConnectionThatTakesNothing second: got "", context deadline exceeded, want the answer

A request of over 8 KiB is written in pieces; one whose context ends between them has been sent in part, as has one whose context ends while it is written. Both stay unknown.

--- a/origin/conn.go
+++ b/origin/conn.go
@@ -24,6 +24,8 @@
 	returned []byte
 	// readable is how many more bytes may be read.
 	readable int
+	// written is how many bytes the present exchange has written.
+	written int
 	// idleSince is when the last exchange ended; the connection may be reused
 	// until idleTimeout later.
 	idleSince   time.Time
@@ -75,6 +77,12 @@
 	return n, err
 }
 
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written += n
+	return n, err
+}
+
 // abort makes pending and later reads and writes fail at once.
 func (c *conn) abort() { _ = c.SetDeadline(time.Unix(1, 0)) }
 
@@ -114,7 +122,7 @@
 		}
 		idleFor := time.Since(c.idleSince)
 		if idleFor < c.idleTimeout && c.stopIdleRead() {
-			c.rested, c.reused = idleFor, true
+			c.rested, c.reused, c.written = idleFor, true, 0
 			return c, nil
 		}
 		c.close()
--- a/origin/conn_test.go
+++ b/origin/conn_test.go
@@ -1,9 +1,13 @@
 package origin
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // A request that may run only once must have a connection on which nothing else can arrive.
@@ -67,3 +71,67 @@
 		})
 	}
 }
+
+// brokenConn is a connection that accepts no byte from the second request on.
+type brokenConn struct {
+	net.Conn
+
+	writes int
+}
+
+func (c *brokenConn) Write(p []byte) (int, error) {
+	c.writes++
+	if c.writes > 1 {
+		return 0, errors.New("broken")
+	}
+	return c.Conn.Write(p)
+}
+
+// A request of which an idle connection takes no byte has not been sent, and is sent on a
+// new one.
+func TestIdleConnectionThatTakesNothing(t *testing.T) {
+	s := newScriptedUpstream(t, signedAnswer, signedAnswer)
+	p := newPool(s.address)
+	p.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		c, err := DialTCP(ctx, address)
+		return &brokenConn{
+			Conn: c,
+		}, err
+	}
+	for _, id := range []string{"first", "second"} {
+		if out, err := do(t, p, id); err != nil || out.body.String() != "good" {
+			t.Errorf("%s: got %q, %v, want the answer", id, out.body.String(), err)
+		}
+	}
+	if got, want := s.conns.Load(), int64(2); got != want {
+		t.Errorf("connections: got %d, want %d", got, want)
+	}
+}
+
+// A request whose context ends while its connection is opened must not be sent.
+func TestContextEndsWhileConnecting(t *testing.T) {
+	s := newScriptedUpstream(t, signedAnswer)
+	p := newPool(s.address)
+	ctx, cancel := context.WithCancel(t.Context())
+	p.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		c, err := DialTCP(ctx, address)
+		cancel()
+		return c, err
+	}
+	err := p.Do(ctx, Request{
+		ID:     "first",
+		Method: http.MethodPost,
+		Host:   "h.example",
+		Target: "/",
+		Header: http.Header{},
+		Body:   []byte("body"),
+	}, &recordingSink{})
+	if !errors.Is(err, ErrNotSent) {
+		t.Errorf("got %v, want ErrNotSent", err)
+	}
+	select {
+	case target := <-s.targets:
+		t.Errorf("got a request for %s at the upstream, want none", target)
+	case <-time.After(straySilence):
+	}
+}
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -59,7 +59,7 @@
 // Errors that explain why a request has no valid answer.
 var (
 	// ErrNotSent means that no byte of the request was sent.
-	ErrNotSent = errors.New("upstream does not accept connections")
+	ErrNotSent = errors.New("request was not sent")
 	// ErrIllegible means that the request's id has arrived in bytes that are no answer.
 	ErrIllegible = errors.New("illegible answer")
 	// ErrTooLong means that the head of an answer, or what is skipped before an answer,
@@ -97,28 +97,41 @@
 )
 
 // Do sends a request and passes its answer to the sink. It returns an error that
-// wraps ErrNotSent if no connection could be opened, and the context's error if
-// the exchange fails after the context ended.
+// wraps ErrNotSent if no byte of the request was sent, and otherwise the context's
+// error if the exchange fails after the context ended.
 func (p *Pool) Do(ctx context.Context, req Request, sink Sink) error {
-	alone := needsOwnConnection(req)
-	c, err := p.get(ctx, alone)
-	if err != nil {
-		return errors.Wrap(ErrNotSent, err.Error())
-	}
-	stop := context.AfterFunc(ctx, c.abort)
-	reusable, err := p.exchange(c, req, sink)
-	if !stop() || err != nil || !reusable || alone {
+	for alone := needsOwnConnection(req); ctx.Err() == nil; alone = true {
+		c, err := p.get(ctx, alone)
+		if err != nil {
+			return errors.Wrap(ErrNotSent, err.Error())
+		}
+		if ctx.Err() != nil {
+			c.close()
+			break
+		}
+		stop := context.AfterFunc(ctx, c.abort)
+		reusable, err := p.exchange(c, req, sink)
+		if stop() && err == nil && reusable && !alone {
+			p.put(c)
+			return nil
+		}
 		c.close()
-		if err != nil && ctx.Err() != nil {
+		switch {
+		case err == nil:
+			return nil
+		case c.written == 0 && c.reused && ctx.Err() == nil:
+			// The upstream had closed the connection.
+			continue
+		case c.written == 0:
+			return errors.Wrap(ErrNotSent, err.Error())
+		case ctx.Err() != nil:
 			return ctx.Err()
-		}
-		if err != nil && c.reused {
-			err = errors.WithMessagef(err, "connection reused after %v", c.rested)
+		case c.reused:
+			return errors.WithMessagef(err, "connection reused after %v", c.rested)
 		}
 		return err
 	}
-	p.put(c)
-	return nil
+	return errors.Wrap(ErrNotSent, ctx.Err().Error())
 }
 
 // needsOwnConnection reports whether a request is sent on a new connection, which is closed
@@ -188,7 +201,16 @@
 	}
 }
 
+// send writes a request. If no byte of it can be written, there is no answer to wait for.
 func (c *conn) send(req Request) error {
+	err := c.write(req)
+	if err != nil && c.written == 0 {
+		c.abort()
+	}
+	return err
+}
+
+func (c *conn) write(req Request) error {
 	out := &http.Request{
 		Method:        req.Method,
 		Host:          req.Host,
@@ -204,7 +226,7 @@
 		// An empty value keeps net/http from adding its own User-Agent.
 		out.Header.Set("User-Agent", "")
 	}
-	w := bufio.NewWriterSize(c.Conn, writeBufferSize)
+	w := bufio.NewWriterSize(c, writeBufferSize)
 	if err := out.Write(w); err != nil {
 		return errors.Wrap(err, "write request")
 	}
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -200,7 +200,7 @@
 	reason := cyclam.Reason("")
 	switch {
 	case errors.Is(err, origin.ErrNotSent) && j.ctx.Err() != nil:
-		// The job was cancelled before a connection was established, which says nothing
+		// The job was cancelled before any of the request was sent, which says nothing
 		// about the upstream's health.
 		run.Ran, reason = false, cyclam.ReasonCancelled
 	case errors.Is(err, origin.ErrNotSent):
