--- a/origin/conn.go
+++ b/origin/conn.go
@@ -6,6 +6,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -19,8 +20,12 @@
 	net.Conn
 
 	reader *bufio.Reader
+	// returned holds bytes that were read and are to be read again.
+	returned []byte
 	// readable is how many more bytes may be read.
 	readable int
+	// written is how many bytes the present exchange has written.
+	written int
 	// idleSince is when the last exchange ended; the connection may be reused
 	// until idleTimeout later.
 	idleSince   time.Time
@@ -41,8 +46,27 @@
 // don't count.
 func (c *conn) allow(bytes int) { c.readable = bytes }
 
-// Read reads from the socket. It returns ErrTooLong once the allowed bytes have been read.
+// unread makes the last bytes that were read the next ones. It returns the memory that
+// holds them, which is that of space if they fit.
+func (c *conn) unread(b, space []byte) []byte {
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	held := slices.Grow(space[:0], len(b)+len(buffered)+len(c.returned))
+	held = append(append(append(held, b...), buffered...), c.returned...)
+	c.returned = held
+	c.reader.Reset(c)
+	return held
+}
+
+// pending returns how many bytes can be read without reading from the socket.
+func (c *conn) pending() int { return c.reader.Buffered() + len(c.returned) }
+
+// Read reads what was returned, and then from the socket. It returns ErrTooLong once the allowed bytes have been read.
 func (c *conn) Read(p []byte) (int, error) {
+	if len(c.returned) > 0 {
+		n := copy(p, c.returned)
+		c.returned = c.returned[n:]
+		return n, nil
+	}
 	if c.readable <= 0 {
 		return 0, ErrTooLong
 	}
@@ -53,6 +77,12 @@
 	return n, err
 }
 
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written += n
+	return n, err
+}
+
 // abort makes pending and later reads and writes fail at once.
 func (c *conn) abort() { _ = c.SetDeadline(time.Unix(1, 0)) }
 
@@ -82,32 +112,41 @@
 	probeCount    = 2
 )
 
-// get returns a reusable idle connection, or a new one if there is none. For
-// requests that are not idempotent, only recently used connections are reused.
-func (p *Pool) get(ctx context.Context, idempotent bool) (*conn, error) {
-	for {
-		c := p.pop()
+// get returns an idle connection that can be reused, or a new one if there is none or if
+// fresh is set.
+func (p *Pool) get(ctx context.Context, fresh bool) (*conn, error) {
+	for !fresh {
+		c := p.take(time.Now())
 		if c == nil {
-			return p.open(ctx)
+			break
 		}
 		idleFor := time.Since(c.idleSince)
-		if idleFor < c.idleTimeout && (idempotent || idleFor < nonIdempotentIdleLimit) && c.stopIdleRead() {
-			c.rested, c.reused = idleFor, true
+		if idleFor < c.idleTimeout && c.stopIdleRead() {
+			c.rested, c.reused, c.written = idleFor, true, 0
 			return c, nil
 		}
 		c.close()
 	}
+	return p.open(ctx)
 }
 
-func (p *Pool) pop() *conn {
+// take removes an idle connection from the pool: the one used last of those that have been
+// idle for restTime, as an upstream drops connections that are idle for long; without such
+// a one, the one that has been idle for longest.
+func (p *Pool) take(now time.Time) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	last := len(p.idle) - 1
-	if last < 0 {
+	if len(p.idle) == 0 {
 		return nil
 	}
-	c := p.idle[last]
-	p.idle = p.idle[:last]
+	chosen := 0
+	for i, c := range p.idle {
+		if now.Sub(c.idleSince) >= restTime {
+			chosen = i
+		}
+	}
+	c := p.idle[chosen]
+	p.idle = slices.Delete(p.idle, chosen, chosen+1)
 	return c
 }
 
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -41,6 +41,9 @@
 	// Length is the length of the body in bytes, or -1 if it is not declared.
 	Length int64
 	Meta   cyclam.AnswerMeta
+	// Skipped is how many bytes that belong to no request, or to another one, came
+	// before the answer.
+	Skipped int
 
 	// closesConn is set if the connection can't be reused after this answer.
 	closesConn bool
@@ -56,9 +59,9 @@
 // Errors that explain why a request has no valid answer.
 var (
 	// ErrNotSent means that no byte of the request was sent.
-	ErrNotSent = errors.New("upstream does not accept connections")
-	// ErrForeign means that the answers received belong to other requests.
-	ErrForeign = errors.New("answer belongs to another request")
+	ErrNotSent = errors.New("request was not sent")
+	// ErrIllegible means that the request's id has arrived in bytes that are no answer.
+	ErrIllegible = errors.New("illegible answer")
 	// ErrTooLong means that the head of an answer, or what is skipped before an answer,
 	// exceeds its bound.
 	ErrTooLong = errors.New("answer exceeds the bound on its length")
@@ -86,43 +89,58 @@
 	// defaultIdleTimeout is how long an idle connection is kept if the upstream
 	// advertises no idle timeout.
 	defaultIdleTimeout = 4 * time.Second
-	// nonIdempotentIdleLimit is the longest idle time after which a connection is
-	// reused for a request that is not idempotent: the upstream may have closed
-	// the connection, and such a request must not be retried.
-	nonIdempotentIdleLimit = 500 * time.Millisecond
+	// restTime is how long a connection should have been idle before it is reused: an
+	// upstream on the same machine has delivered by then what it writes after an answer.
+	restTime = 20 * time.Millisecond
 	// chunkSize is the largest chunk, in bytes, in which a body is read.
 	chunkSize = 32 << 10
-	// maxAnswerReads bounds how many answers are read for one request, including
-	// interim (1xx) answers and late answers to earlier requests.
-	maxAnswerReads = 3
-	// maxHeadBytes bounds the head of an answer, maxSkippedBytes the body of an answer
-	// to another request: an upstream in trouble may write either without end.
-	maxHeadBytes    = 64 << 10
-	maxSkippedBytes = 1 << 20
 )
 
 // Do sends a request and passes its answer to the sink. It returns an error that
-// wraps ErrNotSent if no connection could be opened, and the context's error if
-// the exchange fails after the context ended.
+// wraps ErrNotSent if no byte of the request was sent, and otherwise the context's
+// error if the exchange fails after the context ended.
 func (p *Pool) Do(ctx context.Context, req Request, sink Sink) error {
-	c, err := p.get(ctx, req.Idempotent)
-	if err != nil {
-		return errors.Wrap(ErrNotSent, err.Error())
-	}
-	stop := context.AfterFunc(ctx, c.abort)
-	reusable, err := p.exchange(c, req, sink)
-	if !stop() || err != nil || !reusable {
+	for alone := needsOwnConnection(req); ctx.Err() == nil; alone = true {
+		c, err := p.get(ctx, alone)
+		if err != nil {
+			return errors.Wrap(ErrNotSent, err.Error())
+		}
+		if ctx.Err() != nil {
+			c.close()
+			break
+		}
+		stop := context.AfterFunc(ctx, c.abort)
+		reusable, err := p.exchange(c, req, sink)
+		if stop() && err == nil && reusable && !alone {
+			p.put(c)
+			return nil
+		}
 		c.close()
-		if err != nil && ctx.Err() != nil {
+		switch {
+		case err == nil:
+			return nil
+		case c.written == 0 && c.reused && ctx.Err() == nil:
+			// The upstream had closed the connection.
+			continue
+		case c.written == 0:
+			return errors.Wrap(ErrNotSent, err.Error())
+		case ctx.Err() != nil:
 			return ctx.Err()
-		}
-		if err != nil && c.reused {
-			err = errors.WithMessagef(err, "connection reused after %v", c.rested)
+		case c.reused:
+			return errors.WithMessagef(err, "connection reused after %v", c.rested)
 		}
 		return err
 	}
-	p.put(c)
-	return nil
+	return errors.Wrap(ErrNotSent, ctx.Err().Error())
+}
+
+// needsOwnConnection reports whether a request is sent on a new connection, which is closed
+// after its answer. Nothing can arrive there for another request, and the upstream can't
+// have dropped it as idle; a request that must not run twice can't be sent again if either
+// costs its answer. The answer to HEAD has a length but no body, so that a copy of it could
+// not be skipped.
+func needsOwnConnection(req Request) bool {
+	return !req.Idempotent || req.Method == http.MethodHead
 }
 
 func (p *Pool) exchange(c *conn, req Request, sink Sink) (bool, error) {
@@ -155,69 +173,10 @@
 		c.abort()
 		<-sent
 	}
-	keep := reusable && err == nil && !head.closesConn && c.reader.Buffered() == 0
+	keep := reusable && err == nil && !head.closesConn && c.pending() == 0
 	return keep, err
 }
 
-// readAnswer reads the head of the answer to a request. It skips interim answers
-// and late answers to other requests.
-func (p *Pool) readAnswer(c *conn, req Request) (Head, io.Reader, error) {
-	defer c.allow(unbounded)
-	for range maxAnswerReads {
-		c.allow(maxHeadBytes)
-		resp, err := http.ReadResponse(c.reader, &http.Request{
-			Method: req.Method,
-		})
-		if err != nil {
-			return Head{}, nil, errors.Wrap(err, "read answer")
-		}
-		if resp.StatusCode < http.StatusOK {
-			continue
-		}
-		meta := p.Dialect.ParseAnswer(resp.StatusCode, resp.Header)
-		// Refusals may lack the request's id: the upstream did not run the
-		// request, or another upstream listens at the address. A late copy of one
-		// could not be told from the answer to the next request, so the connection
-		// is not reused.
-		anonymous := meta.ID == "" && (meta.NotRun || meta.Misdirected)
-		if req.ID != "" && meta.ID != req.ID && !anonymous {
-			c.allow(maxSkippedBytes)
-			if err := skipBody(resp); err != nil {
-				return Head{}, nil, err
-			}
-			continue
-		}
-		if resp.StatusCode < http.StatusMultipleChoices && req.ID != "" && !meta.Signed {
-			return Head{}, nil, ErrUnsigned
-		}
-		c.idleTimeout = parseKeepAlive(resp.Header)
-		return Head{
-			Status:     resp.StatusCode,
-			Header:     resp.Header,
-			Length:     resp.ContentLength,
-			Meta:       meta,
-			closesConn: resp.Close || delimitedByClose(resp) || anonymous,
-		}, resp.Body, nil
-	}
-	return Head{}, nil, ErrForeign
-}
-
-// delimitedByClose reports whether the end of the connection marks the end of the
-// body.
-func delimitedByClose(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-}
-
-// skipBody discards the body of an answer to another request. It returns
-// ErrForeign if no further answer can follow on the connection.
-func skipBody(resp *http.Response) error {
-	if resp.Close || delimitedByClose(resp) {
-		return ErrForeign
-	}
-	_, err := io.Copy(io.Discard, resp.Body)
-	return errors.Wrap(err, "skip answer to another request")
-}
-
 // copyBody streams a body to the sink. The body is complete only if Read returns
 // io.EOF; any other error means that it is truncated.
 func copyBody(body io.Reader, length int64, sink Sink) error {
@@ -242,7 +201,16 @@
 	}
 }
 
+// send writes a request. If no byte of it can be written, there is no answer to wait for.
 func (c *conn) send(req Request) error {
+	err := c.write(req)
+	if err != nil && c.written == 0 {
+		c.abort()
+	}
+	return err
+}
+
+func (c *conn) write(req Request) error {
 	out := &http.Request{
 		Method:        req.Method,
 		Host:          req.Host,
@@ -258,7 +226,7 @@
 		// An empty value keeps net/http from adding its own User-Agent.
 		out.Header.Set("User-Agent", "")
 	}
-	w := bufio.NewWriterSize(c.Conn, writeBufferSize)
+	w := bufio.NewWriterSize(c, writeBufferSize)
 	if err := out.Write(w); err != nil {
 		return errors.Wrap(err, "write request")
 	}
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -170,6 +170,9 @@
 		Idempotent: j.offer.Idempotent,
 	}, sink)
 	run, last := n.classifyRun(j, sink, err, time.Since(began))
+	if sink.skipped > 0 {
+		n.Log.Info("stray-bytes-skipped", append(n.jobFields(j), "bytes", sink.skipped)...)
+	}
 	if err == nil && sink.status < http.StatusInternalServerError {
 		n.recordAnswerBytes(j.offer.Route, sink.bytes)
 	}
@@ -212,7 +215,7 @@
 	reason := cyclam.Reason("")
 	switch {
 	case errors.Is(err, origin.ErrNotSent) && j.ctx.Err() != nil:
-		// The job was cancelled before a connection was established, which says nothing
+		// The job was cancelled before any of the request was sent, which says nothing
 		// about the upstream's health.
 		run.Ran, reason = false, cyclam.ReasonCancelled
 	case errors.Is(err, origin.ErrNotSent):
@@ -262,11 +265,13 @@
 	meta    cyclam.AnswerMeta
 	status  int
 	bytes   int
+	// skipped is how many bytes of no request came before the answer.
+	skipped int
 }
 
 // Head appends the head of the answer, unless the upstream did not run the request.
 func (s *jobSink) Head(h origin.Head) error {
-	s.meta, s.status = h.Meta, h.Status
+	s.meta, s.status, s.skipped = h.Meta, h.Status, h.Skipped
 	s.observe(h.Meta)
 	if h.Meta.NotRun || h.Meta.Misdirected {
 		return nil
