--- a/proxy/callerconn.go
+++ b/proxy/callerconn.go
@@ -23,8 +23,9 @@
 	callerServed
 )
 
-// lastLook is how long a connection is read for once more after its timeout. An expired deadline hides bytes that have arrived, and a process whose processor time is
-// throttled may stand still for 100 ms before it reads them.
+// lastLook is how long a connection is read for once more after its timeout. An expired
+// deadline hides bytes that have arrived, and a process whose processor time is throttled may
+// stand still for 100 ms before it reads them.
 const lastLook = 200 * time.Millisecond
 
 // callerConn is a caller's connection. Its reader alone decides that it is idle and may be
