--- a/proxy/callerconn_test.go
+++ b/proxy/callerconn_test.go
@@ -1,8 +1,10 @@
 package proxy
 
 import (
+	"fmt"
 	"io"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -317,3 +319,45 @@
 		})
 	}
 }
+
+// The idle timeout must hold for a connection that has carried a request with a long body,
+// and a stop must close it as idle. A caller may reuse it within the idle timeout.
+func TestConnectionThatCarriedLongBodyIsIdle(t *testing.T) {
+	const headerTimeout = 300 * time.Millisecond
+	post := func(bytes int) string {
+		return fmt.Sprintf("POST /book/1 HTTP/1.1\r\nHost: mesh.example\r\nX-Id: id-%d\r\nX-Wait: 3s\r\nContent-Length: %d\r\n\r\n%s",
+			ids.Add(1), bytes, strings.Repeat("x", bytes))
+	}
+	for _, bytes := range []int{100, 256 << 10} {
+		t.Run(fmt.Sprintf("%d bytes, reused", bytes), func(t *testing.T) {
+			i := newIdleTest(t, 10*time.Second)
+			config := testConfig(2)
+			config.Limits.IdleTimeout, config.Limits.HeaderTimeout = 10*time.Second, headerTimeout
+			i.putInForce(config)
+			c := i.connect()
+			c.send(post(bytes))
+			if err := c.receive(); err != nil {
+				t.Fatal(err)
+			}
+			<-time.After(headerTimeout + 3*lastLook)
+			c.send(request())
+			if err := c.receive(); err != nil {
+				t.Errorf("second request within the idle timeout: %v", err)
+			}
+		})
+		t.Run(fmt.Sprintf("%d bytes, retired", bytes), func(t *testing.T) {
+			i := newIdleTest(t, 10*time.Second)
+			c := i.connect()
+			c.send(post(bytes))
+			if err := c.receive(); err != nil {
+				t.Fatal(err)
+			}
+			<-time.After(50 * time.Millisecond)
+			i.callers.retire()
+			<-time.After(3 * lastLook)
+			if got := i.callers.count(); got != 0 {
+				t.Errorf("open connections after they were retired: got %d, want 0", got)
+			}
+		})
+	}
+}
--- a/proxy/late_test.go
+++ b/proxy/late_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -281,3 +283,42 @@
 		}
 	}
 }
+
+// A request that has been allowed to start must not be sent once its sender's word is too
+// old: opening the connection to the upstream takes time as well.
+func TestOldWordIsNotSentAfterConnecting(t *testing.T) {
+	const (
+		way     = 300 * time.Millisecond
+		connect = 450 * time.Millisecond
+		late    = 2 * time.Second
+	)
+	p := newLatePair(t, 2)
+	dial := p.door.Dial
+	var slow atomic.Bool
+	p.door.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		if address == p.door.Settings.Upstream && slow.Load() && !sleep(ctx, connect) {
+			return nil, ctx.Err()
+		}
+		return dial(ctx, address)
+	}
+	starts := p.upstream.startsOf("/book/x", respondAfter(0))
+	p.open()
+	slow.Store(true)
+	p.links.up.setDelay(way)
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(way/2, func() {
+		p.links.up.setDelay(late)
+		cancel()
+	})
+	if _, _, _, err := p.request(ctx, p.front, http.MethodPost, "/book/x", 3*time.Second); err == nil {
+		t.Error("got an answer, want none")
+	}
+	left := time.Now()
+	select {
+	case run := <-starts:
+		if got := run.at.Sub(left); got > goneWithin {
+			t.Errorf("request at the upstream after the caller left: got %v, want at most %v", got, goneWithin)
+		}
+	case <-time.After(late):
+	}
+}
--- a/proxy/pacer_test.go
+++ b/proxy/pacer_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/pace"
 	"github.com/cyclamensaddle/cyclam/wire"
 	"github.com/hashicorp/go-hclog"
 	"github.com/rcrowley/go-metrics"
@@ -155,3 +156,25 @@
 		}
 	})
 }
+
+// Bytes whose turn was reserved and that are not sent must not let others pass uncounted.
+func TestAbandonedTurnLeavesNoCredit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const rate = 1 << 20
+		p := &linkPacer{
+			state: pace.State{
+				Rate: rate,
+			},
+		}
+		// The caller of a request with a body leaves while the request waits for its turn.
+		if _, ok := p.prepayBy(rate, time.Now().Add(time.Minute)); !ok {
+			t.Fatal("got no turn")
+		}
+		<-time.After(10 * time.Second)
+		p.countWritten(rate)
+		wait, _ := p.prepayBy(rate, time.Now().Add(time.Minute))
+		if got, least := wait, 900*time.Millisecond; got < least {
+			t.Errorf("wait behind a second's bytes: got %v, want at least %v", got, least)
+		}
+	})
+}
--- a/sched/word_test.go
+++ b/sched/word_test.go
@@ -101,3 +101,58 @@
 		t.Errorf("senders asked: got %d, want %d", got, want)
 	}
 }
+
+// Attempts whose senders don't answer must not keep others from being asked: slots are free.
+func TestUnansweredQuestionsDontBlockOthers(t *testing.T) {
+	const slots = 2
+	s := newKnown(slots)
+	for i := range slots {
+		w := newWork(i, 0, 1000, 1000)
+		w.Nested = true
+		w.Word = intent.Received(at(0), at(-1000))
+		s, _ = s.Arrive(at(0), w)
+	}
+	w := newWork(100, 0, 1200, 4000)
+	w.Word = intent.Received(at(0), at(-1000))
+	s, decisions := s.Arrive(at(0), w)
+	for ms := 0; ms <= 1200; ms += 25 {
+		if d, ok := decisionOn(decisions, 100); ok {
+			if !d.Ask || ms > 100 {
+				t.Errorf("after %d ms: got %+v, want a question within 100 ms", ms, d)
+			}
+			return
+		}
+		s, decisions = s.Tick(at(ms + 25))
+	}
+	t.Error("got no question")
+}
+
+// Work whose sender's answers always come too late can't start. It must be refused once that
+// is known, not shortly before its deadline.
+func TestAnswersThatAreAlwaysLate(t *testing.T) {
+	const way = 450
+	s := newKnown(2)
+	w := newWork(1, 0, 4000, 4000)
+	w.Word = intent.Received(at(0), at(-way))
+	s, decisions := s.Arrive(at(0), w)
+	var answers []int
+	for ms := 0; ms < 4000; ms += 25 {
+		if d, ok := decisionOn(decisions, 1); ok {
+			if !d.Ask {
+				if ms > 2000 || d.Start {
+					t.Errorf("after %d ms: got %+v, want a refusal within 2 s", ms, d)
+				}
+				return
+			}
+			answers = append(answers, ms+way)
+		}
+		next := ms + 25
+		if len(answers) > 0 && answers[0] <= next {
+			s, decisions = s.Confirm(at(next), attemptID(1), at(next-way), at(4000))
+			answers = answers[1:]
+			continue
+		}
+		s, decisions = s.Tick(at(next))
+	}
+	t.Error("got no decision")
+}
