Leave a node alone whose address another instance has taken

The entries of lost nodes stay in the store, and their addresses are used again. A reply from such an address says that the offer is for another instance; the sender took the load in that reply for the lost node's, and cleared the mark that it is out of reach. So the lost node looked idle and near, and each request tried up to six of them.

A reply of another instance is evidence about the entry, and the only fresh one: the node now counts as gone until it is heard of again, and the load is not taken for its own.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -261,7 +261,11 @@
 			}
 			return cyclam.Completion{}, nil, err
 		}
-		a.node.updateLoad(a.target.Endpoint.Instance, batch.Load)
+		if batch.Load != nil && batch.Load.Incarnation == 0 {
+			a.node.noteTakenOver(a.target.Endpoint)
+		} else {
+			a.node.updateLoad(a.target.Endpoint.Instance, batch.Load)
+		}
 		a.leaving = a.leaving || batch.Load.GetLeaving()
 		for _, reply := range batch.Replies {
 			if completion, ended := a.apply(partial, reply); ended {
--- a/proxy/fleet.go
+++ b/proxy/fleet.go
@@ -318,6 +318,19 @@
 	}
 }
 
+// noteTakenOver records that another instance answers at a node's address. The node is gone
+// until it is heard of again; its entry stays in the store for a while.
+func (n *Node) noteTakenOver(e cyclam.Endpoint) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	m, ok := n.fleet.members[e.Instance]
+	if !ok || m.view.Endpoint.Identity != e.Identity || m.view.Endpoint.Control != e.Control {
+		return
+	}
+	m.view.Endpoint.State = cyclam.EndpointGone
+	n.Log.Info("node-address-taken", "peer", e.Instance, "address", e.Control)
+}
+
 // nodeCount returns the number of nodes, including this one, that share the retry
 // budget.
 func (n *Node) nodeCount() int {
