Give up a turn on the link that is not used

Bytes that were reserved on the pacer and never written, because the caller left while they waited or the connection failed, stayed as credit: the next writes passed uncounted, just when callers leave a full link and their revocations need the room.

What is not written is given up where that is known, and any credit ends once all reserved bytes should have left.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -90,6 +90,7 @@
 			return
 		}
 		if errors.Is(err, errNotConnected) && !a.offer.Resume {
+			a.node.pacer.forgive(len(a.offer.Body))
 			a.node.markUnreachable(a.target.Endpoint.Instance)
 			a.report(cyclam.Refused(cyclam.ReasonUpstreamDown, 0), nil)
 			return
@@ -140,6 +141,7 @@
 	case !ok:
 		return cyclam.Refused(cyclam.ReasonOverloaded, wait), false
 	case wait > 0 && !sleep(ctx, wait):
+		a.node.pacer.forgive(bytes)
 		return cyclam.Refused(cyclam.ReasonDeadlineExceeded, 0), false
 	default:
 		return cyclam.Completion{}, true
--- a/proxy/pacer.go
+++ b/proxy/pacer.go
@@ -73,12 +73,28 @@
 	return wait
 }
 
+// forgive gives up what is prepaid and will not be written.
+func (p *linkPacer) forgive(bytes int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.prepaid = max(0, p.prepaid-bytes)
+}
+
+// expirePrepaid gives up what should have been written by now: it was counted as sent, and
+// later bytes have to be counted themselves. The caller holds mu.
+func (p *linkPacer) expirePrepaid(now time.Time) {
+	if p.state.Backlog(now, 0) == 0 {
+		p.prepaid = 0
+	}
+}
+
 // prepayBy is like prepay for bytes that are of use only before a deadline. It returns false
 // and counts nothing if they can't be written by then.
 func (p *linkPacer) prepayBy(bytes int, deadline time.Time) (time.Duration, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
+	p.expirePrepaid(now)
 	state, wait := p.state.Reserve(now, bytes)
 	if wait > 0 && !now.Add(wait).Before(deadline) {
 		return wait, false
@@ -93,7 +109,9 @@
 func (p *linkPacer) prepay(bytes int) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	state, wait := p.state.Reserve(time.Now(), bytes)
+	now := time.Now()
+	p.expirePrepaid(now)
+	state, wait := p.state.Reserve(now, bytes)
 	p.state = state
 	p.prepaid += bytes
 	return wait
@@ -103,9 +121,11 @@
 func (p *linkPacer) countWritten(bytes int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := time.Now()
+	p.expirePrepaid(now)
 	used := min(p.prepaid, bytes)
 	p.prepaid -= used
-	p.state, _ = p.state.Reserve(time.Now(), bytes-used)
+	p.state, _ = p.state.Reserve(now, bytes-used)
 }
 
 // waitTurn reserves bytes and blocks until they may be sent; false means that ctx ended.
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -77,6 +77,7 @@
 		for _, part := range splitChunks(ready, sent >= largeAnswerBytes) {
 			n.pacer.uncommit(j.uncommit(bodySize(part)))
 			if wait := n.pacer.prepay(bodySize(part)); sent >= largeAnswerBytes && !sleep(stream.Context(), wait) {
+				n.pacer.forgive(bodySize(part))
 				return stream.Context().Err()
 			}
 			if err := stream.Send(n.batch(part)); err != nil {
