Don't take a probe for news of the store

A probe of a silent connection carries no age of the configuration, and the receiver took that for an age of zero: its configuration counted as the store's newest just then, so that it did not read the store itself after its sources had lost it.

Only knowledge that names its sender tells the age.

--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -85,7 +85,8 @@
 			n.applyConfig(spec, k.ConfigEra, "node")
 		}
 	}
-	if n.version() >= cyclam.Version(k.Version) {
+	// A probe says nothing of the store.
+	if k.Self != nil && n.version() >= cyclam.Version(k.Version) {
 		n.noteStoreAge(time.Duration(k.StoreAgeUs) * time.Microsecond)
 	}
 	n.noteVersion(cyclam.Version(k.Version), cyclam.InstanceName(k.Self.GetInstance()))
