Log only what does not change from the goroutine that answers a question

The line of a failed confirmation read whether the attempt was accepted while replies to the resumed attempt were applied.

TestConfirmBesideReplies reported a data race with -race before, and none now (two runs).

--- a/proxy/word.go
+++ b/proxy/word.go
@@ -59,6 +59,6 @@
 		SentUs:      a.node.clockOf(a.target.Endpoint.Identity, now),
 	})
 	if err != nil {
-		a.node.Log.Debug("confirm-failed", append(a.logFields(), "error", err)...)
+		a.node.Log.Debug("confirm-failed", "id", string(a.offer.Id), "peer", a.target.Endpoint.Instance, "error", err)
 	}
 }
