Don't let silent senders keep the questions of others waiting

Work that had waited for long was asked about only once the senders before it in the queue had answered or been given up, though slots were free: after 875 ms in a test. Requests made by running work sort first, so the senders of a data centre that is out of reach took the places of all others; their work also counted as a queue for the others' expected wait.

A sender that has not answered for 75 ms, three round trips between regions, now counts as silent: its work sorts behind the rest, is not reported as waiting, and is asked about in places of its own, so that it starts at once if the sender is heard again.

--- a/sched/queue.go
+++ b/sched/queue.go
@@ -61,8 +61,8 @@
 	return !w.Nested && !s.onTime(now, w) && now.Sub(w.Arrived) > limit
 }
 
-// sortQueue puts the queue into the order in which its work starts: nested work first,
-// then by priority, then work that can still meet its soft deadline, then by soft
+// sortQueue puts the queue into the order in which its work starts: work of silent senders
+// last, nested work first, then by priority, then work that can still meet its soft deadline, then by soft
 // deadline. Under a rate limit, work of an urgency that is starved by the others goes first,
 // and what is equal up to the soft deadline is divided among the senders.
 func (s State) sortQueue(now time.Time) {
@@ -84,7 +84,10 @@
 
 func (s State) compareUrgency(now time.Time, a, b Work) int {
 	onTimeA, onTimeB := s.onTime(now, a), s.onTime(now, b)
+	silentA, silentB := a.Word.Silent(now), b.Word.Silent(now)
 	switch {
+	case silentA != silentB:
+		return trueFirst(silentB)
 	case a.Nested != b.Nested:
 		return trueFirst(a.Nested)
 	case a.Priority != b.Priority:
@@ -125,6 +128,7 @@
 	s.sortQueue(now)
 	var decisions []Decision
 	kept := s.queue[:0]
+	silent := 0
 	for _, w := range s.queue {
 		if !w.Deadline.After(now) {
 			decisions = append(decisions, refuse(w.Attempt, cyclam.ReasonDeadlineExceeded, 0))
@@ -144,7 +148,13 @@
 			decisions = append(decisions, refuse(w.Attempt, s.shortage(now, w), s.retryAfter(now, ahead)))
 			continue
 		}
-		if ahead < s.limit(now) && w.Word.AskDue(now) {
+		// Silent senders are asked as well, but not in the place of others.
+		rank := ahead
+		if w.Word.Silent(now) {
+			rank = silent
+			silent++
+		}
+		if rank < s.limit(now) && w.Word.AskDue(now) {
 			w.Word = w.Word.WithQuestion(now)
 			decisions = append(decisions, ask(w.Attempt))
 		}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -178,9 +178,15 @@
 
 // Load returns the load that is reported to other nodes.
 func (s State) Load(now time.Time) cyclam.Load {
+	waiting := 0
+	for _, w := range s.queue {
+		if !w.Word.Silent(now) {
+			waiting++
+		}
+	}
 	return cyclam.Load{
 		Running:     s.running,
-		Waiting:     len(s.queue),
+		Waiting:     waiting,
 		Limit:       s.limit(now),
 		ServiceTime: s.settledServiceTime(),
 		Failing:     s.failureRate,
