Refuse an attempt whose sender can't be heard in time

Where messages take 0.45 s, an attempt was asked about every 150 ms until its queue time was over and then refused: after 3.8 s of 4 s for a request made by running work, 1.4 s for others. That it can't start was known with the first answer, which was too old itself.

An answer that is too old to allow a start now refuses the attempt at once, and the sender tries another node and avoids this one for a while.

TestAnswersThatAreAlwaysLate: refused after 3,800 ms before, within 2 s now.

--- a/proxy/fleet.go
+++ b/proxy/fleet.go
@@ -310,10 +310,11 @@
 	}
 }
 
-// noteRefusal avoids a node whose upstream is down or draining.
+// noteRefusal avoids a node whose upstream is down or draining, or from which this one could
+// not be heard in time.
 func (n *Node) noteRefusal(name cyclam.InstanceName, reason cyclam.Reason) {
 	switch reason {
-	case cyclam.ReasonUpstreamDown, cyclam.ReasonDraining:
+	case cyclam.ReasonUpstreamDown, cyclam.ReasonDraining, cyclam.ReasonUnconfirmed:
 		n.markUnreachable(name)
 	}
 }
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -356,7 +356,8 @@
 }
 
 // Confirm applies a message by which the sender of an attempt wanted it at a time and waits
-// until a deadline.
+// until a deadline. If the message has come too late to allow a start, the next one would as
+// well, and the attempt is refused, so that its sender can try another upstream.
 func (s State) Confirm(now time.Time, attempt cyclam.AttemptID, wantedAt, deadline time.Time) (State, []Decision) {
 	i := slices.IndexFunc(s.queue, func(w Work) bool { return w.Attempt == attempt })
 	if i < 0 {
@@ -368,6 +369,11 @@
 	if deadline.Before(w.Deadline) {
 		w.Deadline = deadline
 	}
+	if !w.Word.Allows(now) && deadline.After(now) {
+		s.queue = slices.Delete(s.queue, i, i+1)
+		s, decisions := s.dispatch(now)
+		return s, append(decisions, refuse(attempt, cyclam.ReasonUnconfirmed, s.retryAfter(now, 0)))
+	}
 	return s.dispatch(now)
 }
 
