Ask the sender of an offer that looks too old to be answered

A time in an offer by which the sender would have stopped waiting is now not believed, like one in the future: the sender is asked before the start, and one that has stopped waiting does not answer.

--- a/intent/deadline.go
+++ b/intent/deadline.go
@@ -11,6 +11,17 @@
 
 import "time"
 
+// SentAt returns when an offer was sent that is received now, or the zero time if that is not
+// known: the time in the offer is in the future, or so long ago that the sender would have
+// stopped waiting. The clock of either node may have stood still meanwhile. The sender is
+// asked then; one that has stopped waiting does not answer.
+func SentAt(now, stated time.Time, remaining time.Duration) time.Time {
+	if !known(now, stated) || !stated.Add(remaining).After(now) {
+		return time.Time{}
+	}
+	return stated
+}
+
 // Deadline returns when the sender of an offer that is received now stops waiting, given
 // what it would still wait when it sent the offer. If sentAt is zero or in the future, the
 // time on the way is not known, and the deadline may be too late by it.
--- a/intent/deadline_test.go
+++ b/intent/deadline_test.go
@@ -5,6 +5,40 @@
 	"time"
 )
 
+func TestSentAt(t *testing.T) {
+	const remaining = time.Second
+	recent := epoch.Add(-300 * time.Millisecond)
+	tests := []struct {
+		name   string
+		stated time.Time
+		want   time.Time
+	}{
+		{
+			name:   "recent",
+			stated: recent,
+			want:   recent,
+		},
+		{
+			name: "not stated",
+		},
+		{
+			name:   "in the future",
+			stated: epoch.Add(time.Millisecond),
+		},
+		{
+			name:   "past the deadline",
+			stated: epoch.Add(-remaining),
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if got := SentAt(epoch, test.stated, remaining); !got.Equal(test.want) {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
 func TestDeadline(t *testing.T) {
 	const remaining = time.Second
 	tests := []struct {
--- a/intent/model_test.go
+++ b/intent/model_test.go
@@ -104,6 +104,7 @@
 		if a.revoked {
 			return
 		}
+		sentAt := intent.SentAt(m.now, sentAt, remaining)
 		deadline := intent.Deadline(m.now, sentAt, remaining)
 		m.decide(func(s sched.State) (sched.State, []sched.Decision) {
 			return s.Arrive(m.now, sched.Work{
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -92,7 +92,7 @@
 	}
 	now := time.Now()
 	n.acceptNotice(offer.Notice, now)
-	sentAt := n.timeOf(offer.SentUs)
+	sentAt := intent.SentAt(now, n.timeOf(offer.SentUs), microseconds(offer.RemainingUs))
 	j := newJob(context.Background(), offer, attempt, now)
 	j.deadline = intent.Deadline(now, sentAt, microseconds(offer.RemainingUs))
 	j.memory = &n.answers
