Look again before another node counts as silent

A process that has been out of processor time runs its timers and its readers in any order. The timer of an overdue reply could find nothing received though the bytes were in the socket: the other node was avoided and repeatable attempts were sent twice. One silence was also counted by each way of noticing it, so that a download was repeated after one.

After the timer a read gets 50 ms more, and disturbances within half of the time limit count once.

TestAwaitReply has a case with reads that come 25 ms after the limit; it fails without the second look.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -40,6 +40,8 @@
 	// disturbances counts the interruptions of the link and the times that it was silent.
 	// After suspectAfter of them the attempt is reported as suspect.
 	disturbances atomic.Int32
+	// disturbedAt is the time of the last one, since the node's start.
+	disturbedAt  atomic.Int64
 	suspectAfter int32
 }
 
@@ -117,6 +119,11 @@
 // noteDisturbance records that the link was interrupted or is silent: the node is avoided,
 // and another one may be tried as well.
 func (a *attempt) noteDisturbance() {
+	// One silence may be noticed in several ways.
+	now, last := int64(time.Since(a.node.startTime)), a.disturbedAt.Load()
+	if last != 0 && time.Duration(now-last) < silenceTimeout/2 || !a.disturbedAt.CompareAndSwap(last, now) {
+		return
+	}
 	count := a.disturbances.Add(1)
 	if count == 1 {
 		a.node.markUnreachable(a.target.Endpoint.Instance)
--- a/proxy/network_test.go
+++ b/proxy/network_test.go
@@ -170,10 +170,13 @@
 	tests := []struct {
 		name     string
 		receives bool
-		silent   bool
+		// pause is the time between two receptions.
+		pause  time.Duration
+		silent bool
 	}{
-		{name: "other replies come", receives: true, silent: false},
-		{name: "silent", receives: false, silent: true},
+		{name: "other replies come", receives: true, pause: limit / 3, silent: false},
+		{name: "they are read late", receives: true, pause: limit + lateRead/2, silent: false},
+		{name: "silent", receives: false, pause: limit / 3, silent: true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -200,7 +203,7 @@
 				defer cancel()
 				go l.awaitReply(ctx, conn, nil, limit, "offer", func() { silences.Add(1) })
 				for ctx.Err() == nil {
-					<-time.After(limit / 3)
+					<-time.After(test.pause)
 					if test.receives {
 						conn.noteReceived()
 					}
--- a/proxy/silence.go
+++ b/proxy/silence.go
@@ -25,6 +25,9 @@
 	// monitorInterval is the interval at which a link with attempts in flight is
 	// checked.
 	monitorInterval = 150 * time.Millisecond
+	// lateRead is how long a read may lag behind the timer that judges it: a process that
+	// was out of processor time runs its timers and its readers in any order.
+	lateRead = 50 * time.Millisecond
 	// trialTimeout bounds the trial of another connection. It covers a handshake and a
 	// round trip behind a queue of half a second.
 	trialTimeout = 2 * time.Second
@@ -40,6 +43,12 @@
 	return c.openedAt.Add(time.Duration(c.receivedAfter.Load()))
 }
 
+// hears reports whether bytes are received within a time, or ctx ends.
+func (c *linkConn) hears(ctx context.Context, within time.Duration) bool {
+	from := c.receivedAt()
+	return !sleep(ctx, within) || c.receivedAt().After(from)
+}
+
 // beginAttempt counts an attempt in flight and starts monitoring the link if necessary.
 // silent is called, possibly more than once, if the other node is silent.
 func (l *link) beginAttempt(a *attempt, silent func()) {
@@ -79,6 +88,9 @@
 			wait = limit - quiet
 			continue
 		}
+		if conn.hears(ctx, lateRead) {
+			continue
+		}
 		if silent != nil {
 			silent()
 		}
@@ -113,7 +125,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
 		err := l.ping(ctx, conn)
 		cancel()
-		if err == nil || conn.receivedAt().After(probed) {
+		if err == nil || conn.receivedAt().After(probed) || conn.hears(context.Background(), lateRead) {
 			continue
 		}
 		for _, silent := range l.waiting() {
