--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -40,6 +40,8 @@
 	// disturbances counts the interruptions of the link and the times that it was silent.
 	// After suspectAfter of them the attempt is reported as suspect.
 	disturbances atomic.Int32
+	// disturbedAt is the time of the last one, since the node's start.
+	disturbedAt  atomic.Int64
 	suspectAfter int32
 }
 
@@ -90,6 +92,7 @@
 			return
 		}
 		if errors.Is(err, errNotConnected) && !a.offer.Resume {
+			a.node.pacer.forgive(len(a.offer.Body))
 			a.node.markUnreachable(a.target.Endpoint.Instance)
 			a.report(cyclam.Refused(cyclam.ReasonUpstreamDown, 0), nil)
 			return
@@ -116,6 +119,11 @@
 // noteDisturbance records that the link was interrupted or is silent: the node is avoided,
 // and another one may be tried as well.
 func (a *attempt) noteDisturbance() {
+	// One silence may be noticed in several ways.
+	now, last := int64(time.Since(a.node.startTime)), a.disturbedAt.Load()
+	if last != 0 && time.Duration(now-last) < silenceTimeout/2 || !a.disturbedAt.CompareAndSwap(last, now) {
+		return
+	}
 	count := a.disturbances.Add(1)
 	if count == 1 {
 		a.node.markUnreachable(a.target.Endpoint.Instance)
@@ -140,6 +148,7 @@
 	case !ok:
 		return cyclam.Refused(cyclam.ReasonOverloaded, wait), false
 	case wait > 0 && !sleep(ctx, wait):
+		a.node.pacer.forgive(bytes)
 		return cyclam.Refused(cyclam.ReasonDeadlineExceeded, 0), false
 	default:
 		return cyclam.Completion{}, true
