Count a connection as idle again after a long request body

A connection that had carried a request body of 24 KB or more counted as one with a header being read for the rest of its life: it was closed after the header timeout, which may be shorter than the idle timeout that its caller relies on, and a stop did not close it.

Cause: the node takes an idle connection for one with a part of the next request if the server reads into less than its whole buffer, and took the largest read that it had seen for the size of that buffer. The body of a request is read directly into the handler's buffer, which is larger; what an exchange left behind decided on the next one.

Mend: the size is that of the connection's first read. The server reads a request's first bytes into its buffer, which is empty then, and keeps the buffer for the life of the connection, so this holds whatever the exchanges in between read into.

--- a/proxy/callerconn.go
+++ b/proxy/callerconn.go
@@ -42,7 +42,7 @@
 	limit time.Duration
 	// looking is set during the last look.
 	looking bool
-	// bufferSize is the size of the server's read buffer, as seen in its reads.
+	// bufferSize is the size of the server's read buffer, in bytes; zero until the first read.
 	bufferSize int
 }
 
@@ -65,12 +65,16 @@
 	}
 }
 
-// arm sets the deadline for a read into size bytes of the server's buffer. Between two
-// requests the buffer has less room than its size only if it holds a part of the next one.
+// arm sets the deadline for a read into size bytes. The first read of a connection goes into
+// the whole of the server's buffer; those of a body may go into larger ones. Between two
+// requests the server's buffer has less room than its size only if it holds a part of the
+// next one.
 func (c *callerConn) arm(size int) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.bufferSize = max(c.bufferSize, size)
+	if c.bufferSize == 0 {
+		c.bufferSize = size
+	}
 	if c.state == callerIdle && size < c.bufferSize {
 		c.begin(callerHeader)
 	}
--- a/proxy/callerconn_test.go
+++ b/proxy/callerconn_test.go
@@ -208,6 +208,44 @@
 	}
 }
 
+// The beginning of a request that arrives with the end of a long body is not idle either: its
+// connection must be kept, beyond the idle timeout and by a stop.
+func TestBeginningBehindLongBodyIsNotIdle(t *testing.T) {
+	post := fmt.Sprintf("POST /book/1 HTTP/1.1\r\nHost: mesh.example\r\nX-Id: id-%d\r\nX-Wait: 3s\r\nContent-Length: %d\r\n\r\n", ids.Add(1), 256<<10)
+	body := strings.Repeat("x", 256<<10)
+	for name, test := range map[string]struct {
+		length int
+		stops  bool
+	}{
+		"one byte, idle timeout":    {length: 1},
+		"three bytes, idle timeout": {length: 3},
+		"one byte, stop":            {length: 1, stops: true},
+		"three bytes, stop":         {length: 3, stops: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := newIdleTest(t, sweepInterval)
+			c := i.connect()
+			next := request()
+			c.send(post)
+			// The server then reads the body directly into a larger buffer than its own.
+			c.send(body[:200<<10])
+			<-time.After(50 * time.Millisecond)
+			c.send(body[200<<10:] + next[:test.length])
+			if err := c.receive(); err != nil {
+				t.Fatal(err)
+			}
+			if test.stops {
+				i.callers.retire()
+			}
+			<-time.After(2*sweepInterval + lastLook)
+			c.send(next[test.length:])
+			if err := c.receive(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
 // A connection that stays idle must be closed, a new one too.
 func TestIdleConnectionIsClosed(t *testing.T) {
 	for name, requests := range map[string]int{"kept": 1, "new": 0} {
