Check the sender's word when a request is sent, not only when it starts

Callers that had left found their request at the upstream 0.6 s later; others had their upstream handed more time than they would wait.

Cause: the age of the sender's word is checked when the scheduler decides, and Deadline-Ms was computed then too. Opening the connection to the upstream comes after that and may take half a second, or longer in a process without processor time. What had been decided was carried out on a word that had grown older meanwhile.

Mend: origin.Request has BeforeSend, called once the connection is open and immediately before the first byte, in the goroutine that writes it. It writes the time that is left then, and what the start rested on has to hold still: the deadline, Word.Allows (the one copy of the rule), and that nobody has cancelled the run. A refusal wraps ErrNotSent and ends the attempt as not run, for reason unconfirmed, without a mark against the upstream. The scheduler's decision carries the word on which a start rests; an answer to a question that arrives after the start renews it.

--- a/intent/word.go
+++ b/intent/word.go
@@ -48,7 +48,7 @@
 	return w
 }
 
-// Allows reports whether the attempt may start.
+// Allows reports whether the attempt may start, or be sent to the upstream.
 func (w Word) Allows(now time.Time) bool {
 	return !w.dated || now.Sub(w.wantedAt) <= wordLimit
 }
--- a/origin/conn.go
+++ b/origin/conn.go
@@ -26,6 +26,8 @@
 	readable int
 	// written is how many bytes the present exchange has written.
 	written int
+	// refusal is the error of the present request's BeforeSend.
+	refusal error
 	// idleSince is when the last exchange ended; the connection may be reused
 	// until idleTimeout later.
 	idleSince   time.Time
--- a/origin/conn_test.go
+++ b/origin/conn_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -135,3 +136,77 @@
 	case <-time.After(straySilence):
 	}
 }
+
+// BeforeSend must be called once the connection is open; it completes the header, and its
+// refusal must keep all bytes from the upstream.
+func TestBeforeSend(t *testing.T) {
+	errRefused := errors.New("refused")
+	tests := []struct {
+		name       string
+		method     string
+		body       string
+		idempotent bool
+		// reuses is set if the request is sent on a connection that was used before.
+		reuses bool
+	}{
+		{name: "new connection", method: http.MethodPost},
+		{name: "body", method: http.MethodPost, body: strings.Repeat("x", 4*writeBufferSize)},
+		{name: "reused connection", method: http.MethodGet, idempotent: true, reuses: true},
+		{name: "body on a reused connection", method: http.MethodPut, body: "body", idempotent: true, reuses: true},
+	}
+	for _, test := range tests {
+		for name, refusal := range map[string]error{"allowed": nil, "refused": errRefused} {
+			t.Run(test.name+", "+name, func(t *testing.T) {
+				s := newScriptedUpstream(t, signedAnswer, signedAnswer)
+				p := newPool(s.address)
+				if test.reuses {
+					if _, err := do(t, p, "first"); err != nil {
+						t.Fatal(err)
+					}
+					<-s.targets
+				}
+				dials := 0
+				p.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+					dials++
+					return DialTCP(ctx, address)
+				}
+				calls := 0
+				out := &recordingSink{}
+				err := p.Do(t.Context(), Request{
+					ID:         "second",
+					Method:     test.method,
+					Host:       "h.example",
+					Target:     "/second",
+					Header:     http.Header{},
+					Body:       []byte(test.body),
+					Idempotent: test.idempotent,
+					BeforeSend: func(header http.Header) error {
+						calls++
+						if got, want := dials == 0, test.reuses; got != want {
+							t.Errorf("called without a new connection: got %t, want %t", got, want)
+						}
+						header.Set("X-Id", "second")
+						return refusal
+					},
+				}, out)
+				if got, want := calls, 1; got != want {
+					t.Errorf("calls: got %d, want %d", got, want)
+				}
+				if refusal == nil {
+					if err != nil || out.body.String() != "good" {
+						t.Errorf("got %q, %v, want the answer", out.body.String(), err)
+					}
+					return
+				}
+				if !errors.Is(err, ErrNotSent) || !errors.Is(err, errRefused) {
+					t.Errorf("got %v, want ErrNotSent and the refusal", err)
+				}
+				select {
+				case target := <-s.targets:
+					t.Errorf("got a request for %s at the upstream, want none", target)
+				case <-time.After(straySilence):
+				}
+			})
+		}
+	}
+}
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -9,6 +9,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -32,6 +33,10 @@
 	Header     http.Header
 	Body       []byte
 	Idempotent bool
+	// BeforeSend, unless nil, is called once a connection is open, immediately before the
+	// first byte of the request is sent. It completes the header; an error keeps the request
+	// from being sent. It is called again if the request is sent on another connection.
+	BeforeSend func(http.Header) error
 }
 
 // Head holds the status and the header of an answer.
@@ -97,8 +102,8 @@
 )
 
 // Do sends a request and passes its answer to the sink. It returns an error that
-// wraps ErrNotSent if no byte of the request was sent, and otherwise the context's
-// error if the exchange fails after the context ended.
+// wraps ErrNotSent if no byte of the request was sent, also that of BeforeSend if there is
+// one, and otherwise the context's error if the exchange fails after the context ended.
 func (p *Pool) Do(ctx context.Context, req Request, sink Sink) error {
 	for alone := needsOwnConnection(req); ctx.Err() == nil; alone = true {
 		c, err := p.get(ctx, alone)
@@ -117,6 +122,8 @@
 		}
 		c.close()
 		switch {
+		case c.refusal != nil:
+			return fmt.Errorf("%w: %w", c.refusal, ErrNotSent)
 		case err == nil:
 			return nil
 		case c.written == 0 && c.reused && ctx.Err() == nil:
@@ -227,6 +234,11 @@
 		out.Header.Set("User-Agent", "")
 	}
 	w := bufio.NewWriterSize(c, writeBufferSize)
+	if req.BeforeSend != nil {
+		if c.refusal = req.BeforeSend(req.Header); c.refusal != nil {
+			return c.refusal
+		}
+	}
 	if err := out.Write(w); err != nil {
 		return errors.Wrap(err, "write request")
 	}
--- a/proxy/job.go
+++ b/proxy/job.go
@@ -7,6 +7,7 @@
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/intent"
 	"github.com/cyclamensaddle/cyclam/wire"
 	"github.com/pkg/errors"
 )
@@ -28,7 +29,9 @@
 	// memory counts the bytes in log; nil counts nothing.
 	memory *answerMemory
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// word is the sender's word once the job has started.
+	word    intent.Word
 	log     []*wire.Reply
 	dropped int
 	// buffered is the memory of the body in log, in bytes; dropped is the number of
@@ -76,6 +79,9 @@
 	errUnread  = errors.New("no reader")
 )
 
+// errOldWord means that the sender has not been heard for too long.
+var errOldWord = errors.New("sender's word is too old")
+
 var errNotRetained = errors.New("start of the answer is no longer buffered")
 
 func newJob(ctx context.Context, offer *wire.Offer, attempt cyclam.AttemptID, now time.Time) *job {
@@ -91,18 +97,43 @@
 	return j
 }
 
-// start begins the run, which ends at the deadline at the latest. The caller holds
-// Node.schedMu.
-func (j *job) start() {
+// start begins the run, which ends at the deadline at the latest. It rests on word. The
+// caller holds Node.schedMu.
+func (j *job) start(word intent.Word) {
 	ctx, stopTimer := context.WithDeadline(j.ctx, j.deadline)
 	cancel := j.cancel
 	j.ctx, j.cancel = ctx, func(cause error) {
 		cancel(cause)
 		stopTimer()
 	}
+	j.mu.Lock()
+	j.word = word
+	j.mu.Unlock()
 	j.append(&wire.Reply{Kind: &wire.Reply_Started{Started: &wire.Started{}}}, false)
 }
 
+// noteWord records that the sender wanted the attempt at a time.
+func (j *job) noteWord(now, wantedAt time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.word = j.word.With(now, wantedAt)
+}
+
+// maySend returns nil if the started job may be sent to the upstream now: what its start
+// rested on must still hold, because opening the connection takes time.
+func (j *job) maySend(now time.Time) error {
+	j.mu.Lock()
+	word := j.word
+	j.mu.Unlock()
+	switch {
+	case !j.deadline.After(now):
+		return context.DeadlineExceeded
+	case !word.Allows(now):
+		return errOldWord
+	}
+	return j.ctx.Err()
+}
+
 // ask puts a question to the sender, in place of an earlier one.
 func (j *job) ask(q *wire.Question) {
 	j.mu.Lock()
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -39,7 +39,7 @@
 			})
 			continue
 		case d.Start:
-			j.start()
+			j.start(d.Word)
 			go n.run(j)
 			continue
 		}
@@ -149,12 +149,17 @@
 		header.Add(f.Name, string(f.Value))
 	}
 	target, process := n.upstreamProcess()
-	n.Dialect.WriteAttempt(header, cyclam.AttemptMeta{
-		ID:        id,
-		Remaining: time.Until(j.deadline),
-		Target:    target,
-		Caller:    cyclam.ServiceName(j.offer.CallerService),
-	})
+	caller := cyclam.ServiceName(j.offer.CallerService)
+	beforeSend := func(header http.Header) error {
+		now := time.Now()
+		n.Dialect.WriteAttempt(header, cyclam.AttemptMeta{
+			ID:        id,
+			Remaining: j.deadline.Sub(now),
+			Target:    target,
+			Caller:    caller,
+		})
+		return j.maySend(now)
+	}
 	sink := &jobSink{
 		job:     j,
 		observe: func(meta cyclam.AnswerMeta) { n.observeAnswer(process, meta) },
@@ -168,6 +173,7 @@
 		Header:     header,
 		Body:       j.offer.Body,
 		Idempotent: j.offer.Idempotent,
+		BeforeSend: beforeSend,
 	}, sink)
 	run, last := n.classifyRun(j, sink, err, time.Since(began))
 	if sink.skipped > 0 {
@@ -214,7 +220,9 @@
 	}
 	reason := cyclam.Reason("")
 	switch {
-	case errors.Is(err, origin.ErrNotSent) && j.ctx.Err() != nil:
+	case errors.Is(err, errOldWord):
+		run.Ran, reason = false, cyclam.ReasonUnconfirmed
+	case errors.Is(err, origin.ErrNotSent) && (j.ctx.Err() != nil || errors.Is(err, context.DeadlineExceeded)):
 		// The job was cancelled before any of the request was sent, which says nothing
 		// about the upstream's health.
 		run.Ran, reason = false, cyclam.ReasonCancelled
--- a/proxy/word.go
+++ b/proxy/word.go
@@ -31,10 +31,11 @@
 	}
 }
 
-// noteWordLocked records that the sender of a queued attempt wanted it at a time and would
-// then wait for remaining. The caller holds schedMu.
+// noteWordLocked records that the sender of an attempt wanted it at a time and would then
+// wait for remaining. The caller holds schedMu.
 func (n *Node) noteWordLocked(j *job, wantedAt time.Time, remaining time.Duration) {
 	if wantedAt.IsZero() || !n.scheduler.Queued(j.attempt) {
+		j.noteWord(time.Now(), wantedAt)
 		return
 	}
 	now := time.Now()
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -134,7 +134,7 @@
 			next, ok := s.start(now, w)
 			s = next
 			if ok {
-				decisions = append(decisions, started(w.Attempt))
+				decisions = append(decisions, started(w))
 				continue
 			}
 		}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -60,6 +60,8 @@
 	Start      bool
 	Reason     cyclam.Reason
 	RetryAfter time.Duration
+	// Word is that on which a start rests.
+	Word intent.Word
 }
 
 // State holds the queue and the running count of one upstream; it is immutable.
@@ -227,7 +229,7 @@
 	s.rate = s.rate.withArrival(now, w)
 	if len(s.queue) == 0 && w.Word.Allows(now) {
 		if next, ok := s.start(now, w); ok {
-			return next, []Decision{started(w.Attempt)}
+			return next, []Decision{started(w)}
 		}
 	}
 	s.queue = append(slices.Clone(s.queue), w)
@@ -375,10 +377,11 @@
 	return s.dispatch(now)
 }
 
-func started(attempt cyclam.AttemptID) Decision {
+func started(w Work) Decision {
 	return Decision{
-		Attempt: attempt,
+		Attempt: w.Attempt,
 		Start:   true,
+		Word:    w.Word,
 	}
 }
 
