End the calls of a stop in the last sixth of any grace

An upstream that is at work then is cut, and its caller gets an answer of the node's own, though there is time left.

Cause: the times before the kill were constants that fit a grace of 6 s. With a grace below 0.95 s the calls ended before the stop had begun.

Mend: below 6 s they are shortened in proportion, so that the calls end in the last sixth with a twentieth of it for delays; from 6 s on nothing changes. Each step has its end in stopTimes. Callers' connections are shut 250 ms before the exit in any case, since the last look at idle ones takes 200 ms, and that is longer than a shortened closing time. Other nodes are not accepted for longer than the calls.

Evidence: without the shortening TestStopTimesFollowGrace (0.5 s to 60 s) fails with 2s: calls end 1.05s after the stop began, want at least 1.666666667s 4s: calls end 3.05s after the stop began, want at least 3.333333334s and TestStopWithShortGrace with: answered after 1.050964356s, want at least 1.666666667s Both pass now, with -race.

--- a/proxy/stop.go
+++ b/proxy/stop.go
@@ -19,11 +19,15 @@
 	// its exit. The platform does not count requests sent until then as lost if their
 	// upstream is still at work in the last sixth of the grace.
 	acceptTime = 3 * time.Second
+	// fullGrace is the shortest grace with the whole exitMargin and closingTime. A shorter
+	// one shortens both in proportion, so that calls end in the last sixth of any grace, with
+	// a twentieth of that sixth for delays.
+	fullGrace = 6 * time.Second
 	// exitMargin is kept free between the planned exit and the kill.
 	exitMargin = 700 * time.Millisecond
 	// closingTime is kept free between the end of the calls and the exit: half of it for
 	// the last answers to callers and revocations, the rest for the replies to other nodes
-	// and the entry. With a grace of 6 s, calls end in its last sixth.
+	// and the entry.
 	closingTime = 250 * time.Millisecond
 	// exitPoll is the interval at which a stopping node checks whether it has drained.
 	exitPoll = 50 * time.Millisecond
@@ -32,20 +36,38 @@
 // stopTimes are the times of a planned stop.
 type stopTimes struct {
 	began time.Time
-	// peersClosed is when the node stops accepting attempts from other nodes, callsEnd
-	// when its callers' requests must have ended, and exit when the process may exit
-	// whatever is left.
+	// peersClosed is when the node stops accepting attempts from other nodes, shut when it
+	// stops accepting callers' connections and takes the last look at those that are idle,
+	// callsEnd when its callers' requests must have ended, answersEnd when the last answers must
+	// have been delivered, linksEnd when the connections to other nodes must be closed, and
+	// exit when the process may exit whatever is left.
 	peersClosed time.Time
+	shut        time.Time
 	callsEnd    time.Time
+	answersEnd  time.Time
+	linksEnd    time.Time
 	exit        time.Time
 }
 
+// newStopTimes returns the times of a stop that the platform ends with a kill after grace.
 func newStopTimes(began time.Time, grace time.Duration) *stopTimes {
-	exit := began.Add(grace - exitMargin)
+	grace = max(0, grace)
+	share := min(1, grace.Seconds()/fullGrace.Seconds())
+	closing := time.Duration(share * float64(closingTime))
+	exit := began.Add(grace - time.Duration(share*float64(exitMargin)))
+	callsEnd := exit.Add(-closing)
+	// closingTime leaves room for lastLook; a shorter closing does not.
+	shut := exit.Add(-closingTime)
+	if shut.Before(began) {
+		shut = began
+	}
 	return &stopTimes{
 		began:       began,
-		peersClosed: began.Add(peerGrace),
-		callsEnd:    exit.Add(-closingTime),
+		peersClosed: began.Add(min(peerGrace, callsEnd.Sub(began))),
+		shut:        shut,
+		callsEnd:    callsEnd,
+		answersEnd:  callsEnd.Add(closing / 2),
+		linksEnd:    exit.Add(-closing / 4),
 		exit:        exit,
 	}
 }
@@ -53,7 +75,7 @@
 // Stop shuts the node down gracefully. After a short period it accepts nothing
 // more from other nodes; callers are served until the platform has redirected
 // them, work in flight completes, and its answers are delivered. Stop returns
-// when the process may exit, exitMargin before the end of the grace at the latest.
+// when the process may exit, before the end of the grace.
 func (n *Node) Stop(ctx context.Context) {
 	if !n.prepared.Load() || !n.stopping.CompareAndSwap(false, true) {
 		return
@@ -61,7 +83,7 @@
 	grace := time.Duration(n.grace.Load())
 	s := newStopTimes(time.Now(), grace)
 	n.stop.Store(s)
-	time.AfterFunc(peerGrace, n.requestEntryWrite)
+	time.AfterFunc(time.Until(s.peersClosed), n.requestEntryWrite)
 	n.Log.Info("stop-begun", "grace", grace)
 	ctx, cancel := context.WithDeadline(ctx, s.exit)
 	defer cancel()
@@ -80,7 +102,7 @@
 // stopInOrder takes the steps of a stop, those that concern requests first. Each of them
 // ends in time for the next one. A step that has nothing left to do ends at once.
 func (n *Node) stopInOrder(ctx context.Context, s *stopTimes) {
-	await(ctx, s.callsEnd, func() bool { return time.Since(s.began) >= deregisterDelay && n.drained() })
+	await(ctx, s.shut, func() bool { return time.Since(s.began) >= deregisterDelay && n.drained() })
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
@@ -88,8 +110,8 @@
 	quiet := func() bool { return n.callers.count() == 0 && n.drained() }
 	await(ctx, s.callsEnd, quiet)
 	n.endCalls()
-	await(ctx, s.callsEnd.Add(closingTime/2), quiet)
-	n.closePeers(ctx, s.exit.Add(-closingTime/4))
+	await(ctx, s.answersEnd, quiet)
+	n.closePeers(ctx, s.linksEnd)
 	n.deleteEntry(ctx)
 }
 
--- a/proxy/stop_test.go
+++ b/proxy/stop_test.go
@@ -55,6 +55,68 @@
 	s.waitFor("the runs are cut", func() bool { return u.cancelled.Load() == 2 })
 }
 
+// Whatever the grace, calls must end in its last sixth, and each step before the next one and
+// before the kill: an upstream that is at work until then may lose its caller.
+func TestStopTimesFollowGrace(t *testing.T) {
+	began := time.Now()
+	for _, grace := range []time.Duration{
+		time.Second / 2, time.Second, 2 * time.Second, 4 * time.Second, 5700 * time.Millisecond, 6 * time.Second, 10 * time.Second, time.Minute,
+	} {
+		t.Run(grace.String(), func(t *testing.T) {
+			s := newStopTimes(began, grace)
+			kill := began.Add(grace)
+			if got, least := s.callsEnd, kill.Add(-grace/6); got.Before(least) {
+				t.Errorf("calls end %v after the stop began, want at least %v", got.Sub(began), least.Sub(began))
+			}
+			if s.peersClosed.After(s.callsEnd) {
+				t.Errorf("closed to other nodes %v after the calls end", s.peersClosed.Sub(s.callsEnd))
+			}
+			if got, least := s.exit.Sub(s.shut), lastLook; got <= least && s.shut.After(began) {
+				t.Errorf("exit %v after the last connection is accepted, want more than %v", got, least)
+			}
+			steps := []time.Time{began, s.callsEnd, s.answersEnd, s.linksEnd, s.exit, kill}
+			for i, at := range steps[1:] {
+				if !at.After(steps[i]) {
+					t.Errorf("step %d ends %v after the stop began, want later than the one before, %v", i+1, at.Sub(began), steps[i].Sub(began))
+				}
+			}
+		})
+	}
+	if s := newStopTimes(began, 0); s.exit.After(began) {
+		t.Errorf("without a grace: exit after %v, want at once", s.exit.Sub(began))
+	}
+}
+
+// A stop with a short grace must end before the kill, and its calls in the last sixth, though
+// an upstream works on.
+func TestStopWithShortGrace(t *testing.T) {
+	const grace = 2 * time.Second
+	s := newPatientCluster(t)
+	u := newUpstream(t, "u1")
+	u.work = respondAfter(10 * time.Second)
+	backend, ingress := s.start("door", u, nil), s.node("front", nil, nil)
+	ingress.Settings.Grace = grace
+	s.run(ingress)
+	s.awaitReady(backend, ingress)
+	answered := make(chan time.Time, 1)
+	go func() {
+		status, _, _, err := s.request(t.Context(), ingress, http.MethodPost, "/book/x", 7*time.Second)
+		answered <- time.Now()
+		if want := http.StatusGatewayTimeout; err != nil || status != want {
+			t.Errorf("status: got %d, %v, want %d", status, err, want)
+		}
+	}()
+	s.waitFor("the upstream works", func() bool { return u.runs.Load() == 1 })
+	began := time.Now()
+	took := timeStop(t, ingress)
+	if got, least := (<-answered).Sub(began), grace-grace/6; got < least {
+		t.Errorf("answered after %v, want at least %v", got, least)
+	}
+	if got := <-took; got > grace {
+		t.Errorf("stop: got %v, want at most %v", got, grace)
+	}
+}
+
 // A call that arrives during a stop gives its upstream only the time until the process
 // exits.
 func TestStopShortensDeadlines(t *testing.T) {
