Keep of a finished attempt only what its revocation needs, until its deadline

A node that is no longer sent anything keeps its last ones, and each finish looks at all of that node's under the view's mutex.

Now the ids and the deadline are kept, and the tick of a second drops what has expired.

Evidence: TestFinishedAttemptsExpire fails without the tick (one attempt is left 3.5 s after the request) and passes with it. TestFinishedAttemptsAreSettled checks that the revocation is complete. No memory was measured.

--- a/proxy/fleet.go
+++ b/proxy/fleet.go
@@ -20,7 +20,7 @@
 	unacked map[*attempt]time.Time
 	// finished holds the attempts whose answers have arrived, until their deadlines. The
 	// node keeps the answers until it is told.
-	finished []*attempt
+	finished []finishedAttempt
 	// clock is what is known of the node's steady clock.
 	clock intent.Clock
 	// spokeAt is the time of the last message of the node about itself.
--- a/proxy/node.go
+++ b/proxy/node.go
@@ -221,6 +221,7 @@
 				n.recheckRateLimit(ctx, now)
 				n.mu.Lock()
 				n.fleet.expireNotices(now)
+				n.fleet.expireFinished(now)
 				typical := picker.MeanServiceTime(n.fleet.candidates(n.Settings.Self.Service))
 				n.mu.Unlock()
 				n.decide(func(s sched.State) (sched.State, []sched.Decision) { return s.WithServiceTimeHint(typical), nil })
