--- a/intent/word.go
+++ b/intent/word.go
@@ -63,7 +63,7 @@
 	return !w.Allows(now) && !w.askedSince.IsZero() && now.Sub(w.askedSince) >= answerTime
 }
 
-// Allows reports whether the attempt may start.
+// Allows reports whether the attempt may start, or be sent to the upstream.
 func (w Word) Allows(now time.Time) bool {
 	return !w.dated || now.Sub(w.wantedAt) <= wordLimit
 }
