Log what the server towards callers reports as warnings

A panic in a handler closes its connection without an answer, and its only line was written at a level that is off. The server reports little else: failed accepts.

--- a/proxy/node.go
+++ b/proxy/node.go
@@ -242,7 +242,7 @@
 	n.server = &http.Server{
 		Handler:   http.HandlerFunc(n.handle),
 		ConnState: n.callers.track,
-		ErrorLog:  n.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		ErrorLog:  n.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Warn}),
 	}
 	group.Go(func() error {
 		err := n.server.Serve(&n.callers)
