Refuse at once what no upstream can be expected to answer in time

Cause, by the logs of all nodes: a request that one full upstream's node refused was offered to the next, up to six times. In 2.5 s the schedulers refused 43,196 offers, eight times as many as there were requests. Each offer takes about a millisecond of processor time at two nodes of 0.16 of a core, which then lacked for the requests that could have been served; so offers, acknowledgements and refusals came late, queues ran into deadlines, and calls of running work failed with the runs that waited for them. Requests that came back with a few milliseconds left were offered as well and failed. Ruled out: the links (no attempt-interrupted but 31), the upstreams' own refusals (none).

Change: picker considers only upstreams from which an answer can be expected in time, by the loads that are known, the measured round trip and the time of a run; if there is none the caller is refused at once and told when a slot may be free. What is not known refuses nothing: an upstream without a reported service time, an expired load, a rate limit, and upstreams out of reach if there are no others. After one refusal for overload a request is offered only where a slot is free, and after two it is refused. Calls of running work keep their six offers, because the work that waits for them fails with them.

--- a/picker/picker.go
+++ b/picker/picker.go
@@ -79,22 +79,9 @@
 // ExpectedLatency returns the expected time until the answer, with penalties for
 // failures and for upstreams that are leaving or unreachable.
 func (t Tuning) ExpectedLatency(now time.Time, c Candidate) time.Duration {
-	serviceTime := c.Load.ServiceTime
-	if serviceTime <= 0 {
-		serviceTime = t.InitialServiceTime
-	}
-	limit := c.Load.Limit
-	if limit <= 0 {
-		limit = max(1, int(c.Endpoint.Slots))
-	}
-	busy := c.InFlight
-	busy += int(c.freshness(now) * float64(c.Load.Running+c.Load.Waiting))
-	expected := c.RoundTrip(now) + serviceTime
-	wait := c.rateWait(now)
-	if excess := busy + 1 - limit; excess > 0 {
-		wait = max(wait, serviceTime*time.Duration(excess)/time.Duration(limit))
-	}
-	expected += wait
+	serviceTime := t.serviceTime(c)
+	busy, limit := c.occupancy(now)
+	expected := c.RoundTrip(now) + serviceTime + max(c.rateWait(now), c.slotWait(now, serviceTime))
 	// Many upstreams slow down before they are full.
 	expected += serviceTime * time.Duration(min(busy, limit)) / time.Duration(saturationDivisor*limit)
 	expected += time.Duration(c.Load.Failing * float64(t.FailureCost))
@@ -107,12 +94,37 @@
 	if c.AvoidUntil.After(now) {
 		expected += avoidPenalty
 	}
-	if c.LoadAt.IsZero() && (c.InFlight > 0 || c.FirstAt.After(now)) {
+	if c.tooNew(now) {
 		expected += unreportedPenalty
 	}
 	return expected
 }
 
+// serviceTime returns the service time that the upstream has reported, or the one assumed
+// of those that have not.
+func (t Tuning) serviceTime(c Candidate) time.Duration {
+	if c.Load.ServiceTime > 0 {
+		return c.Load.ServiceTime
+	}
+	return t.InitialServiceTime
+}
+
+// occupancy returns the number of attempts that are expected to run or wait at the
+// upstream, and how many may run at once.
+func (c Candidate) occupancy(now time.Time) (busy, limit int) {
+	limit = c.Load.Limit
+	if limit <= 0 {
+		limit = max(1, int(c.Endpoint.Slots))
+	}
+	return c.InFlight + int(c.freshness(now)*float64(c.Load.Running+c.Load.Waiting)), limit
+}
+
+// slotWait returns the expected time until an attempt may get a slot.
+func (c Candidate) slotWait(now time.Time, serviceTime time.Duration) time.Duration {
+	busy, limit := c.occupancy(now)
+	return serviceTime * time.Duration(max(0, busy+1-limit)) / time.Duration(limit)
+}
+
 // freshness returns the weight of the load report, from 1 to 0.
 func (c Candidate) freshness(now time.Time) float64 {
 	age := now.Sub(c.LoadAt)
@@ -169,13 +181,6 @@
 // take longer at a full upstream than at an idle one.
 const saturationDivisor = 2
 
-// Request describes a request for the selection.
-type Request struct {
-	From cyclam.Locality
-	// Bytes is the expected size of the request and its answer together.
-	Bytes int
-}
-
 // HasFreeSlot reports whether the upstream has a free slot by its last load report
 // and the attempts sent since. One with a rate limit never has, as each attempt takes the
 // place of another one.
@@ -250,31 +255,6 @@
 	return sum / time.Duration(reported)
 }
 
-// Pick returns the index of the candidate that takes an attempt; false means that
-// there is none. The function intn returns a random number in [0, n).
-func (t Tuning) Pick(now time.Time, r Request, candidates []Candidate, intn func(n int) int) (int, bool) {
-	if len(candidates) == 0 {
-		return 0, false
-	}
-	t = t.withTypicalServiceTime(candidates)
-	costs := make([]time.Duration, len(candidates))
-	best := 0
-	for i, c := range candidates {
-		costs[i] = t.ExpectedLatency(now, c) + t.transferCost(r, c.Endpoint.Locality) + c.transferTime(r)
-		if costs[i] < costs[best] {
-			best = i
-		}
-	}
-	bound := costs[best] + time.Duration(tieTolerance*float64(costs[best]))
-	var tied []int
-	for i, cost := range costs {
-		if cost <= bound {
-			tied = append(tied, i)
-		}
-	}
-	return tied[intn(len(tied))], true
-}
-
 // InitialRTT estimates the round-trip time between two localities before any is
 // measured.
 func InitialRTT(a, b cyclam.Locality) time.Duration {
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -32,8 +32,10 @@
 	refusals     map[cyclam.Identity]int
 	lost         map[cyclam.Identity]int
 	maybeStarted map[cyclam.Identity]bool
-	sends        int
-	inFlight     int
+	// refused decides from the refusals and losses whether the call is sent again.
+	refused  picker.Refusals
+	sends    int
+	inFlight int
 	// retryAfter is the shortest retry delay that a refusal asked for.
 	retryAfter time.Duration
 	reason     cyclam.Reason
@@ -64,10 +66,8 @@
 }
 
 const (
-	// maxRefusals is how many refusals and lost attempts a call collects before its caller
-	// is refused; maxLost is how many attempts may be lost at one node.
-	maxRefusals = 6
-	maxLost     = 2
+	// maxLost is how many attempts may be lost at one node.
+	maxLost = 2
 	// resultBuffer lets attempts report while the call handles another result.
 	resultBuffer = 16
 )
@@ -154,13 +154,19 @@
 	} else {
 		c.refusals[name]++
 	}
+	c.refused = c.refused.With(v.Reason)
 	c.reason = v.Reason
-	if v.RetryAfter > 0 && (c.retryAfter == 0 || v.RetryAfter < c.retryAfter) {
-		c.retryAfter = v.RetryAfter
-	}
+	c.noteRetryAfter(v.RetryAfter)
 	c.node.noteRefusal(name.Instance, v.Reason)
 }
 
+// noteRetryAfter records a time after which an upstream may take the call; zero for none.
+func (c *call) noteRetryAfter(after time.Duration) {
+	if after > 0 && (c.retryAfter == 0 || after < c.retryAfter) {
+		c.retryAfter = after
+	}
+}
+
 // failureResult returns the result of a call that got no usable answer: the last
 // 5xx answer of an upstream if there was one, "unknown" if an upstream may have
 // started to work, otherwise "not run".
@@ -223,8 +229,11 @@
 	if c.attemptsExhausted() {
 		return false
 	}
-	target, ok := n.pickTarget(c)
-	if !ok {
+	target, reason := n.pickTarget(c)
+	if reason != "" {
+		if c.reason == "" {
+			c.reason = reason
+		}
 		return false
 	}
 	name := target.Endpoint.Identity
@@ -287,13 +296,7 @@
 // attemptsExhausted reports whether the call has reached its limit of refusals or
 // of upstreams that may have worked on it.
 func (c *call) attemptsExhausted() bool {
-	total := 0
-	for _, counts := range []map[cyclam.Identity]int{c.refusals, c.lost} {
-		for _, count := range counts {
-			total += count
-		}
-	}
-	if total >= maxRefusals {
+	if c.refused.Exhausted() {
 		return true
 	}
 	limit := c.route.Attempts
@@ -328,7 +331,7 @@
 		return
 	}
 	// A hedged attempt that has to queue would delay other work and answer no sooner.
-	if target, ok := c.node.pickTarget(c); !ok || !target.HasFreeSlot() {
+	if target, reason := c.node.pickTarget(c); reason != "" || !target.HasFreeSlot() {
 		return
 	}
 	if c.send(ctx, results) {
--- a/proxy/handle.go
+++ b/proxy/handle.go
@@ -67,6 +67,7 @@
 	c.offer.Target = []byte(target)
 	c.offer.Route = route.Name
 	c.offer.Nested = n.isRunning(meta.Parent)
+	c.refused.Nested = c.offer.Nested
 	c.offer.Body = body
 	if !c.offer.Nested {
 		n.countRequest(c.service)
--- a/proxy/pick.go
+++ b/proxy/pick.go
@@ -11,8 +11,9 @@
 
 // pickTarget returns the best node for the next attempt. It skips nodes that refused
 // the call, failed it last or may already be working on it. A node on the way to which an
-// attempt was lost comes after the others.
-func (n *Node) pickTarget(c *call) (picker.Candidate, bool) {
+// attempt was lost comes after the others. If there are nodes and none can be expected to
+// answer in time, it returns the reason.
+func (n *Node) pickTarget(c *call) (picker.Candidate, cyclam.Reason) {
 	now := time.Now()
 	n.mu.Lock()
 	candidates := n.fleet.candidates(c.service)
@@ -36,14 +37,22 @@
 	if len(open) == 0 {
 		open = lost
 	}
+	if len(open) == 0 {
+		return picker.Candidate{}, cyclam.ReasonNoUpstream
+	}
 	i, ok := n.pickTuning.Pick(now, picker.Request{
-		From:  n.Settings.Self.Locality,
-		Bytes: n.expectedBytes(c.route),
+		From:          n.Settings.Self.Locality,
+		Bytes:         n.expectedBytes(c.route),
+		TargetLatency: c.route.TargetLatency,
+		Goal:          c.goal,
+		Deadline:      c.deadline,
+		Refusals:      c.refused,
 	}, open, rand.IntN)
 	if !ok {
-		return picker.Candidate{}, false
+		c.noteRetryAfter(n.pickTuning.ShortestWait(now, open))
+		return picker.Candidate{}, cyclam.ReasonOverloaded
 	}
-	return open[i], true
+	return open[i], ""
 }
 
 // Bytes of a request plus its answer that are assumed for a route without samples.
