--- a/resource.go
+++ b/resource.go
@@ -25,6 +25,10 @@
 	KindEndpoint Kind = "endpoint"
 )
 
+// IsSoft reports whether readers of the kind bear changes that arrive some seconds late: what
+// they need at once, they learn from each other.
+func (k Kind) IsSoft() bool { return k == KindEndpoint }
+
 // OperatorKinds returns the kinds that operators write.
 func OperatorKinds() []Kind {
 	return []Kind{KindService, KindRoute, KindPlacementRule}
