Write the literals of the fleet's replay one field a line

The house style asks for it, and the reader for what takes a request and what counts a client's tries.

--- a/herd/call_test.go
+++ b/herd/call_test.go
@@ -60,10 +60,11 @@
 	// parent is the run that makes the call; nil for a client's.
 	parent *attempt
 	// began is when the client tried first, arrived when this try did.
-	began     time.Time
-	arrived   time.Time
-	goal      time.Time
-	deadline  time.Time
+	began    time.Time
+	arrived  time.Time
+	goal     time.Time
+	deadline time.Time
+	// retries is how often the client may still try again.
 	retries   int
 	refusedBy map[*node]bool
 	refusals  picker.Refusals
@@ -91,10 +92,13 @@
 	pending int
 }
 
+// begin takes a request of a client, or of the running work of the own upstream.
 func (n *node) begin(c *call) {
 	w := n.world
 	c.sender, c.arrived, c.refusedBy = n, w.now, map[*node]bool{}
-	c.refusals = picker.Refusals{Nested: c.parent != nil}
+	c.refusals = picker.Refusals{
+		Nested: c.parent != nil,
+	}
 	w.after(c.deadline.Sub(w.now), c.expire)
 	n.handle(c.offer)
 }
--- a/picker/pick_test.go
+++ b/picker/pick_test.go
@@ -64,8 +64,10 @@
 			want:       "crowded",
 		},
 		{
-			name:       "without a deadline",
-			request:    Request{From: here},
+			name: "without a deadline",
+			request: Request{
+				From: here,
+			},
 			candidates: []Candidate{crowded},
 			want:       "crowded",
 		},
