Revert the service times that begin with the first runs and expire

Cause, as far as shown: with exact service times all nodes know the same fastest upstreams and fill their queues on views that are up to two seconds old; the guess in the first figures kept them apart.

--- a/sched/sched.go
+++ b/sched/sched.go
@@ -190,7 +190,7 @@
 		Running:     s.running,
 		Waiting:     waiting,
 		Limit:       s.limit(now),
-		ServiceTime: s.reportedServiceTime(now),
+		ServiceTime: s.settledServiceTime(),
 		Failing:     s.failureRate,
 		Leaving:     s.leaving || !s.known,
 		RateLimit:   s.rate.limit,
@@ -270,11 +270,16 @@
 func (s State) End(now time.Time, run RunResult) (State, []Decision) {
 	s.running = max(0, s.running-1)
 	if run.Ran && !run.Failed {
+		previous := s.expectedServiceTime(run.Route)
+		runs := s.routes[run.Route].runs
 		s.routes = maps.Clone(s.routes)
 		if s.routes == nil {
 			s.routes = map[string]routeTime{}
 		}
-		s.routes[run.Route] = s.routes[run.Route].withRun(now, run.Took)
+		s.routes[run.Route] = routeTime{
+			average: movingAverage(previous, run.Took),
+			runs:    min(runs+1, settledRuns),
+		}
 		s.serviceTime = s.meanServiceTime(run.Took)
 	}
 	failed := 0.0
--- a/sched/servicetime.go
+++ b/sched/servicetime.go
@@ -2,24 +2,11 @@
 
 import "time"
 
-// routeTime is the moving average of a route's service time, the number of runs that it is
-// based on, up to settledRuns, and when the last one ended.
+// routeTime is the moving average of a route's service time and the number of runs that
+// it is based on, up to settledRuns.
 type routeTime struct {
 	average time.Duration
 	runs    int
-	at      time.Time
-}
-
-// withRun returns the route's service time after a run. The first runs count alike: an
-// average that begins with a guess would keep attempts away for as long as it is above what
-// other upstreams report, and without attempts it stays there.
-func (r routeTime) withRun(now time.Time, took time.Duration) routeTime {
-	weight := max(serviceTimeWeight, 1/float64(r.runs+1))
-	return routeTime{
-		average: r.average + time.Duration(weight*float64(took-r.average)),
-		runs:    min(r.runs+1, settledRuns),
-		at:      now,
-	}
 }
 
 // settledRuns is the number of runs from which a route's average counts. Routes that are
@@ -40,23 +27,10 @@
 }
 
 // settledServiceTime returns the mean of the settled routes, or zero if none has settled.
-func (s State) settledServiceTime() time.Duration { return s.serviceTimeSince(time.Time{}) }
-
-// serviceTimeKept is how long a service time is reported after the last run. If it kept
-// others away for longer, no run would show that it has changed.
-const serviceTimeKept = 5 * time.Second
-
-// reportedServiceTime returns the service time that is told to other nodes; zero if it is
-// not known.
-func (s State) reportedServiceTime(now time.Time) time.Duration {
-	return s.serviceTimeSince(now.Add(-serviceTimeKept))
-}
-
-// serviceTimeSince returns the mean of the settled routes that have run since a time.
-func (s State) serviceTimeSince(since time.Time) time.Duration {
+func (s State) settledServiceTime() time.Duration {
 	sum, settled := time.Duration(0), 0
 	for _, r := range s.routes {
-		if r.runs == settledRuns && !r.at.Before(since) {
+		if r.runs == settledRuns {
 			sum += r.average
 			settled++
 		}
