Log which requests were running when the upstream's process ended

A run without an answer now names its request by a fingerprint of method, host, target and body, and the node checks by a connection whether the upstream still listens. No decision rests on it yet.

--- /dev/null
+++ b/proxy/crash.go
@@ -0,0 +1,222 @@
+package proxy
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cyclamensaddle/cyclam/poison"
+	"github.com/pkg/errors"
+)
+
+// crashWatch finds out which requests were running when the upstream's process ended.
+type crashWatch struct {
+	mu sync.Mutex
+	// sent holds the runs whose requests have been sent and that have not ended.
+	sent map[*job]sentRun
+	// lost holds runs that have ended without an answer, from the earliest on, until the
+	// process has answered a later one.
+	lost []lostRun
+	// checking is set while it is checked whether the process listens.
+	checking bool
+	// endedAt is when the process was last seen to have ended. replaced is set once the
+	// process after it is known.
+	endedAt  time.Time
+	replaced bool
+}
+
+// sentRun is a request that was sent to the upstream.
+type sentRun struct {
+	fingerprint poison.Fingerprint
+	at          time.Time
+}
+
+// lostRun is a run that has ended without an answer.
+type lostRun struct {
+	sentRun
+
+	lostAt time.Time
+}
+
+const (
+	// crashDelay is how long a request may run before it ends the process. A run that was
+	// given up may do so for as long afterwards, because the upstream may go on with it.
+	crashDelay = 250 * time.Millisecond
+	// lostKept is how long a lost run may be found to have ended the process, if that does
+	// not show before its successor reports itself.
+	lostKept = 10 * time.Second
+	// maxLostRuns bounds the lost runs that are kept.
+	maxLostRuns = 64
+	// checkTimeout bounds the connection by which it is checked whether the process listens.
+	checkTimeout = 300 * time.Millisecond
+	// checkPause is the pause before a second check: the process may still have listened.
+	checkPause = 100 * time.Millisecond
+)
+
+// fingerprintOf returns the fingerprint of a job's request, which must not have ended.
+func (j *job) fingerprintOf() poison.Fingerprint {
+	o := j.offer
+	return poison.FingerprintOf(o.Method, o.Host, string(o.Target), o.Body)
+}
+
+// noteSent records that a job's request is about to be sent.
+func (w *crashWatch) noteSent(j *job, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.sent == nil {
+		w.sent = map[*job]sentRun{}
+	}
+	w.sent[j] = sentRun{
+		fingerprint: j.fingerprintOf(),
+		at:          now,
+	}
+}
+
+// noteNotRun records that a job's request was not sent after all, or that the upstream did
+// not run it.
+func (w *crashWatch) noteNotRun(j *job) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.sent, j)
+}
+
+// noteAnswered records that a job was answered: the process has outlived what was lost
+// before.
+func (w *crashWatch) noteAnswered(j *job) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	run, ok := w.sent[j]
+	if !ok {
+		return
+	}
+	delete(w.sent, j)
+	w.lost = slices.DeleteFunc(w.lost, func(l lostRun) bool { return run.at.Sub(l.lostAt) > crashDelay })
+	if run.at.After(w.endedAt) {
+		w.replaced = true
+	}
+}
+
+// noteLost records that a job ended without an answer. It returns false if its request was
+// not sent, or if the end of the process has been noted since.
+func (w *crashWatch) noteLost(j *job, now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	run, ok := w.sent[j]
+	delete(w.sent, j)
+	if !ok || !run.at.After(w.endedAt) {
+		return false
+	}
+	w.replaced = true
+	w.lost = slices.DeleteFunc(w.lost, func(l lostRun) bool { return now.Sub(l.lostAt) > lostKept })
+	if len(w.lost) >= maxLostRuns {
+		w.lost = w.lost[1:]
+	}
+	w.lost = append(w.lost, lostRun{
+		sentRun: run,
+		lostAt:  now,
+	})
+	return true
+}
+
+// beginCheck reports whether a check of the process is to begin; endCheck ends it.
+func (w *crashWatch) beginCheck() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	begins := !w.checking
+	w.checking = true
+	return begins
+}
+
+func (w *crashWatch) endCheck() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.checking = false
+}
+
+// noteEnd records that the process has ended and returns the requests that it may have run
+// then, each once.
+func (w *crashWatch) noteEnd(now time.Time) []poison.Fingerprint {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var running []poison.Fingerprint
+	for _, run := range w.sent {
+		if run.at.After(w.endedAt) {
+			running = append(running, run.fingerprint)
+		}
+	}
+	for _, run := range w.lost {
+		if now.Sub(run.lostAt) <= crashDelay {
+			running = append(running, run.fingerprint)
+		}
+	}
+	w.lost = nil
+	w.endedAt, w.replaced = now, false
+	slices.Sort(running)
+	return slices.Compact(running)
+}
+
+// noteReplaced records that another process has reported itself, and returns the requests
+// that the one before may have run at its end, if that was not noted: it went unseen, or
+// the process fell silent.
+func (w *crashWatch) noteReplaced(now time.Time) []poison.Fingerprint {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	known := !w.replaced && !w.endedAt.IsZero()
+	w.replaced = true
+	var running []poison.Fingerprint
+	for _, run := range w.lost {
+		if now.Sub(run.lostAt) <= lostKept {
+			running = append(running, run.fingerprint)
+		}
+	}
+	w.lost = nil
+	if known {
+		return nil
+	}
+	slices.Sort(running)
+	return slices.Compact(running)
+}
+
+// checkUpstream finds out whether the upstream's process has ended, after an answer was
+// lost: it does not listen any more.
+func (n *Node) checkUpstream() {
+	if !n.crashes.beginCheck() {
+		return
+	}
+	defer n.crashes.endCheck()
+	for range 2 {
+		ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+		conn, err := n.Dial(ctx, n.Settings.Upstream)
+		cancel()
+		if err == nil {
+			_ = conn.Close()
+			<-time.After(checkPause)
+			continue
+		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			n.logEnd(n.crashes.noteEnd(time.Now()), "refuses connections")
+		}
+		return
+	}
+}
+
+// logEnd logs the end of the upstream's process with the requests that it ran.
+func (n *Node) logEnd(running []poison.Fingerprint, sign string) {
+	if len(running) == 0 {
+		return
+	}
+	n.meters.upstreamCrashes.Inc(1)
+	n.Log.Warn("upstream-crashed", "upstream", n.upstreamID(), "sign", sign, "running", len(running), "requests", joinFingerprints(running))
+}
+
+// joinFingerprints lists requests for logs.
+func joinFingerprints(requests []poison.Fingerprint) string {
+	texts := make([]string, 0, len(requests))
+	for _, f := range requests {
+		texts = append(texts, f.String())
+	}
+	return strings.Join(texts, ",")
+}
--- a/proxy/meters.go
+++ b/proxy/meters.go
@@ -28,6 +28,8 @@
 	// is the limit that it names.
 	upstreamRequests metrics.Counter
 	rateLimit        metrics.GaugeFloat64
+	// upstreamCrashes counts the ends of the upstream's process while it ran requests.
+	upstreamCrashes metrics.Counter
 	// revocation times revocations until they are confirmed.
 	revocation metrics.Timer
 	requests   metrics.Timer
@@ -47,6 +49,7 @@
 		discardedUnread:  metrics.GetOrRegisterCounter("answers-discarded-unread", r),
 		questions:        metrics.GetOrRegisterCounter("senders-asked", r),
 		upstreamRequests: metrics.GetOrRegisterCounter("upstream-requests", r),
+		upstreamCrashes:  metrics.GetOrRegisterCounter("upstream-crashes", r),
 		rateLimit:        metrics.GetOrRegisterGaugeFloat64("upstream-rate-limit", r),
 		revocation:       metrics.GetOrRegisterTimer("revocation", r),
 		requests:         metrics.GetOrRegisterTimer("request", r),
--- a/proxy/node.go
+++ b/proxy/node.go
@@ -81,6 +81,8 @@
 	// answerBytes holds the mean bytes of the local upstream's answers, by route.
 	answerBytes map[string]float64
 	upstream    upstreamState
+	// crashes tells which requests were running when the upstream's process ended.
+	crashes crashWatch
 	// ownNotices holds what other nodes were told of the local upstream, by its id.
 	ownNotices map[string]notice
 
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -158,7 +158,11 @@
 			Target:    target,
 			Caller:    caller,
 		})
-		return j.maySend(now)
+		if err := j.maySend(now); err != nil {
+			return err
+		}
+		n.crashes.noteSent(j, now)
+		return nil
 	}
 	sink := &jobSink{
 		job:     j,
@@ -175,6 +179,7 @@
 		Idempotent: j.offer.Idempotent,
 		BeforeSend: beforeSend,
 	}, sink)
+	n.noteRunEnd(j, sink, err)
 	run, last := n.classifyRun(j, sink, err, time.Since(began))
 	if sink.skipped > 0 {
 		n.Log.Info("stray-bytes-skipped", append(n.jobFields(j), "bytes", sink.skipped)...)
@@ -187,6 +192,18 @@
 	n.decide(func(s sched.State) (sched.State, []sched.Decision) { return s.End(time.Now(), run) })
 }
 
+// noteRunEnd records what the end of a run says of the upstream's process.
+func (n *Node) noteRunEnd(j *job, sink *jobSink, err error) {
+	switch {
+	case errors.Is(err, origin.ErrNotSent), sink.meta.NotRun, sink.meta.Misdirected:
+		n.crashes.noteNotRun(j)
+	case err == nil && sink.status != http.StatusGatewayTimeout:
+		n.crashes.noteAnswered(j)
+	case n.crashes.noteLost(j, time.Now()) && j.ctx.Err() == nil:
+		go n.checkUpstream()
+	}
+}
+
 // recordAnswerBytes updates the moving average of a route's answer size, in bytes.
 func (n *Node) recordAnswerBytes(route string, bytes int) {
 	n.schedMu.Lock()
@@ -259,6 +276,7 @@
 			"waited", time.Since(j.arrived)-took,
 			"cause", context.Cause(j.ctx),
 			"unread-for", j.unreadFor(time.Now()),
+			"request", j.fingerprintOf(),
 			"error", err,
 		)...)
 	}
--- a/proxy/upstream.go
+++ b/proxy/upstream.go
@@ -74,6 +74,9 @@
 	n.applyNotices(now)
 	leaving := n.upstream.leaving
 	n.schedMu.Unlock()
+	if newProcess {
+		n.logEnd(n.crashes.noteReplaced(now), "replaced")
+	}
 	if newProcess || leaving != known.leaving {
 		n.Log.Info("upstream-changed",
 			"upstream", status.ID,
@@ -205,10 +208,17 @@
 		return
 	}
 	n.schedMu.Lock()
-	defer n.schedMu.Unlock()
+	process := n.upstream.process
 	if h.healthy && h.id != "" && n.upstream.id == "" && n.upstream.withdrawnID != h.id {
 		n.identifyLocked(h.id)
 	}
+	replaced := n.upstream.process != process
+	n.schedMu.Unlock()
+	if replaced {
+		n.logEnd(n.crashes.noteReplaced(time.Now()), "replaced")
+	}
+	n.schedMu.Lock()
+	defer n.schedMu.Unlock()
 	if h.id != "" && n.upstream.id == h.id {
 		n.observeHealth(time.Now(), h.meta)
 	}
