--- /dev/null
+++ b/proxy/crash_test.go
@@ -0,0 +1,284 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
+)
+
+const (
+	// stableWindow is how long after the third crash repeats may still reach upstreams
+	// freely; afterwards retriesAfterWindow may.
+	stableWindow       = 3 * time.Second
+	retriesAfterWindow = 3
+	// testCrashDelay is how long a crashing request runs.
+	testCrashDelay = 10 * time.Millisecond
+)
+
+// crasher is an upstream whose process ends while it runs a request with "poison" in its
+// path, and is started again after a pause.
+type crasher struct {
+	t       testing.TB
+	name    string
+	address string
+	// work is how long other requests run, pause how long the process is away.
+	work  time.Duration
+	pause time.Duration
+
+	mu       sync.Mutex
+	node     *Node
+	server   *http.Server
+	starts   int
+	closed   bool
+	crashes  []time.Time
+	arrivals []arrival
+}
+
+// arrival is a request that has reached an upstream.
+type arrival struct {
+	path string
+	at   time.Time
+}
+
+func newCrasher(t testing.TB, name string) *crasher {
+	u := &crasher{
+		t:       t,
+		name:    name,
+		address: freeAddress(t),
+		work:    testCrashDelay / 2,
+		pause:   200 * time.Millisecond,
+	}
+	u.start()
+	t.Cleanup(func() {
+		u.mu.Lock()
+		u.closed = true
+		server := u.server
+		u.mu.Unlock()
+		_ = server.Close()
+	})
+	return u
+}
+
+// start runs a new process, which has a new id.
+func (u *crasher) start() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.closed {
+		return
+	}
+	listener, err := net.Listen("tcp", u.address)
+	if err != nil {
+		u.t.Errorf("upstream %s: %v", u.name, err)
+		return
+	}
+	u.starts++
+	id := u.name + "-" + strconv.Itoa(u.starts)
+	u.server = &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { u.serve(w, r, id) }),
+	}
+	go func(server *http.Server) { _ = server.Serve(listener) }(u.server)
+	if u.node != nil {
+		go u.announce(id)
+	}
+}
+
+// announce reports the process to the node beside it.
+func (u *crasher) announce(id string) {
+	for range 100 {
+		if err := u.node.Announce(cyclam.UpstreamStatus{
+			ID:        id,
+			StartedAt: time.Now(),
+			Sequence:  1,
+			Service:   "stock",
+			Address:   u.address,
+			Slots:     8,
+		}); err == nil {
+			return
+		}
+		<-time.After(20 * time.Millisecond)
+	}
+}
+
+func (u *crasher) serve(w http.ResponseWriter, r *http.Request, id string) {
+	w.Header().Set("X-Instance", id)
+	if r.URL.Path == "/health" {
+		return
+	}
+	if target := r.Header.Get("X-Target"); target != "" && target != id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	u.mu.Lock()
+	u.arrivals = append(u.arrivals, arrival{
+		path: r.URL.Path,
+		at:   time.Now(),
+	})
+	u.mu.Unlock()
+	if strings.Contains(r.URL.Path, "poison") {
+		<-time.After(testCrashDelay)
+		u.crash(id)
+		panic(http.ErrAbortHandler)
+	}
+	select {
+	case <-time.After(u.work):
+	case <-r.Context().Done():
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("X-Id", r.Header.Get("X-Id"))
+	w.Header().Set("X-Signed", "1")
+	_, _ = io.WriteString(w, "answer")
+}
+
+// crash ends the process with this id, unless it has ended already.
+func (u *crasher) crash(id string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if id != u.name+"-"+strconv.Itoa(u.starts) || len(u.crashes) == u.starts {
+		return
+	}
+	u.crashes = append(u.crashes, time.Now())
+	_ = u.server.Close()
+	time.AfterFunc(u.pause, u.start)
+}
+
+// crashCluster is nodes beside upstreams that may crash.
+type crashCluster struct {
+	*testCluster
+
+	upstreams []*crasher
+	nodes     []*Node
+}
+
+func newCrashCluster(t testing.TB, count int) *crashCluster {
+	s := &crashCluster{
+		testCluster: newTestCluster(t),
+	}
+	for i := range count {
+		s.add("node-" + strconv.Itoa(i))
+	}
+	s.awaitReady(s.nodes...)
+	return s
+}
+
+// add starts a node beside a new upstream.
+func (s *crashCluster) add(name string) *Node {
+	u := newCrasher(s.t, name)
+	n := s.node(name, nil, nil)
+	n.Settings.Self.Service = "stock"
+	n.Settings.Self.Slots = 8
+	n.Settings.Upstream = u.address
+	s.run(n)
+	u.attach(n)
+	s.upstreams = append(s.upstreams, u)
+	s.nodes = append(s.nodes, n)
+	return n
+}
+
+// attach makes n the node to which the upstream reports itself.
+func (u *crasher) attach(n *Node) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.node = n
+	go u.announce(u.name + "-" + strconv.Itoa(u.starts))
+}
+
+// send sends a request to a node and returns the status, zero without an answer.
+func (s *crashCluster) send(n *Node, method, path string) int {
+	status, _, _, err := s.request(context.Background(), n, method, path, 800*time.Millisecond)
+	if err != nil {
+		return 0
+	}
+	return status
+}
+
+// repeat sends a request again and again, to each node in turn, for a time. Several are
+// under way at once.
+func (s *crashCluster) repeat(method, path string, span time.Duration) {
+	const pause = 20 * time.Millisecond
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for end, i := time.Now().Add(span), 0; time.Now().Before(end); i++ {
+		n := s.nodes[i%len(s.nodes)]
+		wg.Go(func() { s.send(n, method, path) })
+		<-time.After(pause)
+	}
+}
+
+// crashes returns when upstreams have crashed, in order.
+func (s *crashCluster) crashes() []time.Time {
+	var all []time.Time
+	for _, u := range s.upstreams {
+		u.mu.Lock()
+		all = append(all, u.crashes...)
+		u.mu.Unlock()
+	}
+	slices.SortFunc(all, time.Time.Compare)
+	return all
+}
+
+// arrivals counts the requests with a path that have reached upstreams since a time.
+func (s *crashCluster) arrivals(path string, since time.Time) int {
+	count := 0
+	for _, u := range s.upstreams {
+		u.mu.Lock()
+		for _, a := range u.arrivals {
+			if a.path == path && a.at.After(since) {
+				count++
+			}
+		}
+		u.mu.Unlock()
+	}
+	return count
+}
+
+// checkBound fails the test if the request has reached upstreams too often after it has
+// crashed three of them.
+func (s *crashCluster) checkBound(path string) {
+	s.t.Helper()
+	crashes := s.crashes()
+	if len(crashes) < 3 {
+		s.t.Fatalf("crashes: got %d, want at least 3", len(crashes))
+	}
+	if got := s.arrivals(path, crashes[2].Add(stableWindow)); got > retriesAfterWindow {
+		s.t.Errorf("%s reached upstreams after the third crash and %v: got %d times, want at most %d; %d crashes in all", path, stableWindow, got, retriesAfterWindow, len(crashes))
+	}
+}
+
+// A request that crashed each upstream that ran it was sent on whenever it came again, at any
+// node, and took the service's upstreams down one after the other.
+func TestRepeatsOfCrashingRequestAreStopped(t *testing.T) {
+	for name, c := range map[string]struct {
+		method, path string
+	}{
+		"idempotent": {
+			method: http.MethodGet,
+			path:   "/read/poison",
+		},
+		"not idempotent": {
+			method: http.MethodPost,
+			path:   "/book/poison",
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newCrashCluster(t, 5)
+			s.repeat(c.method, c.path, stableWindow+4*time.Second)
+			s.checkBound(c.path)
+			for _, n := range s.nodes {
+				if got, want := s.send(n, http.MethodGet, "/read/other"), http.StatusOK; got != want {
+					t.Errorf("another request at %s: got status %d, want %d", n.self.Instance, got, want)
+				}
+			}
+		})
+	}
+}
