Keep requests that crash upstreams from them

The cause: nothing remembered what a request had done to the upstreams that ran it, so that each repeat was a new one to every node.

The node beside an upstream now finds out which requests were running when its process ended, and counts. Its counts reach the others through its entry in the store, which outlasts the process, through the exchanges between nodes, and at once over the connections that are open. From two crashes without an answer a request is a suspect: all nodes offer it to the same upstream, where it runs alone, so that nothing else is lost with it and the blame is certain. If it ends the process alone, after three crashes in all, it is banned at every node for ten minutes and refused as not run, with the time that is left; after that one trial decides, and each further ban is twice as long. An answer clears a request.

--- a/outcome.go
+++ b/outcome.go
@@ -56,6 +56,11 @@
 	ReasonAttemptTooOld     Reason = "attempt-too-old"
 	ReasonDuplicate         Reason = "duplicate-in-progress"
 	ReasonAnswerNotRetained Reason = "answer-no-longer-held"
+	// ReasonBanned means that the request has ended the upstreams that ran it.
+	ReasonBanned Reason = "banned-after-crashes"
+	// ReasonSuspected means that the request may end its upstream, and has to be offered to
+	// run alone.
+	ReasonSuspected Reason = "suspected-of-crashes"
 )
 
 // Answer is an upstream's answer, copied out of the transport's buffers.
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -61,6 +61,7 @@
 	o.Service = string(c.service)
 	o.AnswersQuestions = target.Endpoint.Identity != c.node.self
 	o.Version = uint64(c.version)
+	o.Alone = c.suspected
 	c.node.mu.Lock()
 	o.Notice = c.node.fleet.noticeFor(target.Endpoint.Instance, now)
 	c.node.mu.Unlock()
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -10,6 +10,7 @@
 
 	cyclam "github.com/cyclamensaddle/cyclam"
 	"github.com/cyclamensaddle/cyclam/picker"
+	"github.com/cyclamensaddle/cyclam/poison"
 	"github.com/cyclamensaddle/cyclam/wire"
 )
 
@@ -32,6 +33,8 @@
 	refusals     map[cyclam.Identity]int
 	lost         map[cyclam.Identity]int
 	maybeStarted map[cyclam.Identity]bool
+	// suspected is set if the request may end its upstream: it is offered to run alone.
+	suspected bool
 	// refused decides from the refusals and losses whether the call is sent again.
 	refused  picker.Refusals
 	sends    int
@@ -139,6 +142,9 @@
 // resend tries another node after a refusal. A refusal by the upstream itself is
 // charged to the retry budget, since the request has already put load on it.
 func (c *call) resend(ctx context.Context, reason cyclam.Reason, results chan<- result) bool {
+	if reason == cyclam.ReasonBanned || c.suspected && !movesSuspect(reason) {
+		return false
+	}
 	if reason == cyclam.ReasonUpstreamRefused {
 		if !c.mayRetry() {
 			return false
@@ -148,10 +154,24 @@
 	return c.send(ctx, results)
 }
 
+// movesSuspect reports whether a suspect that was refused is offered to run alone elsewhere.
+// If it waits for its turn at one upstream, it must not run at a second one meanwhile.
+func movesSuspect(reason cyclam.Reason) bool {
+	switch reason {
+	case cyclam.ReasonSuspected, cyclam.ReasonUpstreamDown, cyclam.ReasonDraining, cyclam.ReasonWrongTarget:
+		return true
+	default:
+		return false
+	}
+}
+
 func (c *call) recordRefusal(name cyclam.Identity, v cyclam.Completion) {
-	if v.Reason == cyclam.ReasonCancelled {
+	switch v.Reason {
+	case cyclam.ReasonCancelled:
 		c.lost[name]++
-	} else {
+	case cyclam.ReasonSuspected:
+		c.suspected = true
+	default:
 		c.refusals[name]++
 	}
 	c.refused = c.refused.With(v.Reason)
@@ -226,7 +246,7 @@
 // allowed or no candidate is left.
 func (c *call) send(ctx context.Context, results chan<- result) bool {
 	n := c.node
-	if c.attemptsExhausted() {
+	if c.attemptsExhausted() || !c.mayRun() {
 		return false
 	}
 	target, reason := n.pickTarget(c)
@@ -265,6 +285,20 @@
 	return true
 }
 
+// mayRun reports whether the request is not kept from upstreams. A suspect is sent once: it
+// may have ended an upstream.
+func (c *call) mayRun() bool {
+	switch v := c.node.verdict(c.offer); v.Level {
+	case poison.Banned:
+		c.reason = cyclam.ReasonBanned
+		c.noteRetryAfter(v.Remaining)
+		return false
+	case poison.Suspected:
+		c.suspected = true
+	}
+	return !c.suspected || len(c.maybeStarted) == 0
+}
+
 // suspectAfter returns how many disturbances make an attempt suspect, so that
 // another node may be tried as well. Downloads get one more, because a second copy
 // of a large answer would fill the same links.
@@ -327,7 +361,7 @@
 const hedgeShare = 0.75
 
 func (c *call) hedge(ctx context.Context, results chan<- result) {
-	if c.inFlight != 1 || !c.mayHedge() {
+	if c.inFlight != 1 || c.suspected || !c.mayHedge() {
 		return
 	}
 	// A hedged attempt that has to queue would delay other work and answer no sooner.
--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -121,6 +121,16 @@
 	return true
 }
 
+// lastLost returns when a run was last lost; zero if none is remembered.
+func (w *crashWatch) lastLost() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.lost) == 0 {
+		return time.Time{}
+	}
+	return w.lost[len(w.lost)-1].lostAt
+}
+
 // beginCheck reports whether a check of the process is to begin; endCheck ends it.
 func (w *crashWatch) beginCheck() bool {
 	w.mu.Lock()
@@ -197,21 +207,12 @@
 			continue
 		}
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			n.logEnd(n.crashes.noteEnd(time.Now()), "refuses connections")
+			n.noteCrash(n.crashes.noteEnd(time.Now()), "refuses connections")
 		}
 		return
 	}
 }
 
-// logEnd logs the end of the upstream's process with the requests that it ran.
-func (n *Node) logEnd(running []poison.Fingerprint, sign string) {
-	if len(running) == 0 {
-		return
-	}
-	n.meters.upstreamCrashes.Inc(1)
-	n.Log.Warn("upstream-crashed", "upstream", n.upstreamID(), "sign", sign, "running", len(running), "requests", joinFingerprints(running))
-}
-
 // joinFingerprints lists requests for logs.
 func joinFingerprints(requests []poison.Fingerprint) string {
 	texts := make([]string, 0, len(requests))
--- a/proxy/crash_test.go
+++ b/proxy/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -13,6 +14,9 @@
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/origin"
+	"github.com/cyclamensaddle/cyclam/poison"
+	"github.com/pkg/errors"
 )
 
 const (
@@ -157,6 +161,12 @@
 
 	upstreams []*crasher
 	nodes     []*Node
+	// stops end the nodes abruptly.
+	stops []func()
+	// networks connects the nodes. isolated holds the addresses of nodes that no other node
+	// reaches.
+	networks []*testNetwork
+	isolated sync.Map
 }
 
 func newCrashCluster(t testing.TB, count int) *crashCluster {
@@ -177,13 +187,33 @@
 	n.Settings.Self.Service = "stock"
 	n.Settings.Self.Slots = 8
 	n.Settings.Upstream = u.address
-	s.run(n)
+	network := &testNetwork{}
+	n.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		if address == u.address {
+			return origin.DialTCP(ctx, address)
+		}
+		if _, isolated := s.isolated.Load(address); isolated {
+			return nil, errors.New("cut off by the test")
+		}
+		return network.dial(ctx, address)
+	}
+	s.networks = append(s.networks, network)
+	s.stops = append(s.stops, s.run(n))
 	u.attach(n)
 	s.upstreams = append(s.upstreams, u)
 	s.nodes = append(s.nodes, n)
 	return n
 }
 
+// isolate cuts a node off from all others.
+func (s *crashCluster) isolate(i int) {
+	s.networks[i].refuse.Store(true)
+	s.isolated.Store(s.nodes[i].Settings.Self.Control, true)
+	for _, network := range s.networks {
+		network.cut()
+	}
+}
+
 // attach makes n the node to which the upstream reports itself.
 func (u *crasher) attach(n *Node) {
 	u.mu.Lock()
@@ -282,3 +312,135 @@
 		})
 	}
 }
+
+// together sends a crashing request and another one at the same moment, so that both run at
+// the same upstream, and returns the status of the other one.
+func (s *crashCluster) together(n *Node, crashing, other string) int {
+	var wg sync.WaitGroup
+	status := 0
+	wg.Go(func() { status = s.send(n, http.MethodGet, other) })
+	wg.Go(func() { s.send(n, http.MethodGet, crashing) })
+	wg.Wait()
+	return status
+}
+
+// An innocent request that was lost with upstreams again and again, each time beside the one
+// that crashed them, must not be taken for the cause: it is served once it runs.
+func TestInnocentRequestBesideCrashesIsServed(t *testing.T) {
+	s := newCrashCluster(t, 1)
+	u := s.upstreams[0]
+	u.work = 3 * testCrashDelay
+	const rounds = 6
+	lost, last := 0, 0
+	for range rounds {
+		s.waitFor("upstream is back", func() bool { return s.send(s.nodes[0], http.MethodGet, "/read/other") == http.StatusOK })
+		if last = s.together(s.nodes[0], "/read/poison", "/read/innocent"); last != http.StatusOK {
+			lost++
+		}
+	}
+	if lost == 0 {
+		t.Errorf("innocent request: got no round in which it was lost, want some")
+	}
+	s.waitFor("innocent request is served", func() bool { return s.send(s.nodes[0], http.MethodGet, "/read/innocent") == http.StatusOK })
+	if got := len(s.crashes()); got > 4 {
+		t.Errorf("crashes: got %d, want at most 4", got)
+	}
+	if got, want := s.send(s.nodes[0], http.MethodGet, "/read/poison"), http.StatusServiceUnavailable; got != want {
+		t.Errorf("crashing request: got status %d, want %d", got, want)
+	}
+}
+
+// banned repeats a crashing request until it is banned at each node.
+func (s *crashCluster) banned(path string) {
+	f := poison.FingerprintOf(http.MethodGet, "mesh.example", path, nil)
+	s.waitFor("request is banned at each node", func() bool {
+		s.repeat(http.MethodGet, path, 100*time.Millisecond)
+		return !slices.ContainsFunc(s.nodes, func(n *Node) bool {
+			return n.quarantine.current().Verdict(time.Now(), f).Level != poison.Banned
+		})
+	})
+	s.waitFor("ban is stored", func() bool {
+		list, err := s.platform.List(s.t.Context(), cyclam.KindEndpoint)
+		return err == nil && slices.ContainsFunc(list.Objects, func(o cyclam.Object) bool {
+			var e entry
+			if err := json.Unmarshal(o.Spec, &e); err != nil {
+				s.t.Fatal(err)
+			}
+			reports, err := poison.ParseReports("", e.Crashes)
+			return err == nil && slices.ContainsFunc(reports, func(r poison.Report) bool { return r.Bans > 0 })
+		})
+	})
+}
+
+// A node that starts after a request was banned must know of the ban before it serves, also
+// if all nodes have been restarted, and one that joins.
+func TestBanOutlastsProcesses(t *testing.T) {
+	s := newCrashCluster(t, 3)
+	s.banned("/read/poison")
+	for i, n := range s.nodes {
+		s.stops[i]()
+		s.nodes[i] = s.restart(n)
+		s.upstreams[i].attach(s.nodes[i])
+	}
+	s.add("joining")
+	s.awaitReady(s.nodes...)
+	since := time.Now()
+	s.repeat(http.MethodGet, "/read/poison", time.Second)
+	if got := s.arrivals("/read/poison", since); got != 0 {
+		t.Errorf("banned request after all nodes were restarted: got to upstreams %d times, want 0", got)
+	}
+	for _, n := range s.nodes {
+		if got, want := s.send(n, http.MethodGet, "/read/other"), http.StatusOK; got != want {
+			t.Errorf("another request at %s: got status %d, want %d", n.self.Instance, got, want)
+		}
+	}
+}
+
+// A node that can't reach the others must learn of a ban from the store, and while the store
+// is away, from the others.
+func TestBanReachesNodesThatAreCutOff(t *testing.T) {
+	for name, cut := range map[string]func(*crashCluster){
+		"from the other nodes": func(s *crashCluster) { s.isolate(3) },
+		"from the store":       func(s *crashCluster) { s.platform.down.Store(true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newCrashCluster(t, 4)
+			away := s.nodes[3]
+			cut(s)
+			s.nodes = s.nodes[:3]
+			s.repeat(http.MethodGet, "/read/poison", time.Second)
+			s.waitFor("request is refused at the node", func() bool {
+				return s.send(away, http.MethodGet, "/read/poison") == http.StatusServiceUnavailable
+			})
+			since := time.Now()
+			s.nodes = append(s.nodes, away)
+			s.repeat(http.MethodGet, "/read/poison", time.Second)
+			if got := s.arrivals("/read/poison", since); got > 1 {
+				t.Errorf("banned request: got to upstreams %d times, want at most 1", got)
+			}
+		})
+	}
+}
+
+// When a ban ends, one trial must tell whether upstreams bear the request, however many
+// callers have waited for it.
+func TestBanEndsWithOneTrial(t *testing.T) {
+	s := newCrashCluster(t, 4)
+	f := poison.FingerprintOf(http.MethodGet, "mesh.example", "/read/poison", nil)
+	ended := time.Now().Add(-time.Hour)
+	for _, n := range s.nodes {
+		n.quarantine.update(n.self.Instance, func(table poison.Table) poison.Table {
+			next, _ := table.WithReports(ended, poison.Report{
+				Instance:    "gone",
+				Fingerprint: f,
+				Crashes:     3,
+				Bans:        1,
+			})
+			return next
+		})
+	}
+	s.repeat(http.MethodGet, "/read/poison", 2*time.Second)
+	if got, want := s.arrivals("/read/poison", time.Time{}), 1; got != want {
+		t.Errorf("request whose ban has ended: got to upstreams %d times, want %d", got, want)
+	}
+}
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -28,6 +28,9 @@
 	StartedMs int64  `json:"started-ms,omitempty"`
 	// Sequence orders the entries of one incarnation; zero if an older build wrote it.
 	Sequence uint64 `json:"sequence,omitempty"`
+	// Crashes is what the instance has seen of requests that were lost with processes of its
+	// upstream, in the form of poison.FormatReports.
+	Crashes string `json:"crashes,omitempty"`
 }
 
 var entryStates = map[string]cyclam.EndpointState{
@@ -37,6 +40,14 @@
 	cyclam.EndpointGone.String():    cyclam.EndpointGone,
 }
 
+// learnEntry merges what a stored entry of another node tells of crashes.
+func (n *Node) learnEntry(o cyclam.Object) {
+	var e entry
+	if err := json.Unmarshal(o.Spec, &e); err == nil {
+		n.learnStored(cyclam.InstanceName(o.Name), e.Crashes)
+	}
+}
+
 // decodeEntry returns the endpoint of a stored entry.
 func decodeEntry(o cyclam.Object) (cyclam.Endpoint, error) {
 	var e entry
@@ -112,6 +123,7 @@
 		Upstream:    up.id,
 		Leaving:     up.leaving,
 		StartedMs:   startedMs,
+		Crashes:     n.quarantine.storedText(),
 	})
 	e.Sequence = announced.Sequence
 	return e, announced
@@ -175,6 +187,7 @@
 			n.Log.Warn("own-entry-unreadable", "error", err)
 		}
 	}
+	n.learnStored(n.self.Instance, stored.Crashes)
 	n.entry.mu.Lock()
 	first := n.entry.at.IsZero()
 	if !e.Object.Position.Before(n.entry.at) {
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -30,6 +30,7 @@
 	}
 	k.StoreEra, _ = n.storeEras.Current()
 	k.Loads = n.gossipLoads()
+	k.Crashes = n.encodeReports()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	k.Notice = n.fleet.noticeFor(receiver, time.Now())
@@ -94,6 +95,7 @@
 		n.Log.Info("store-era-heard", "era", k.StoreEra, "peer", k.Self.GetInstance())
 	}
 	n.mergeLoads(k.Loads)
+	n.learnReports(decodeReports(k.Crashes))
 	n.schedMu.Lock()
 	n.acceptNotice(k.Notice, time.Now())
 	n.schedMu.Unlock()
--- a/proxy/job.go
+++ b/proxy/job.go
@@ -26,6 +26,9 @@
 	// cancel ends the run with a cause, which is logged.
 	cancel context.CancelCauseFunc
 
+	// alone is set if the request runs while nothing else does.
+	alone bool
+
 	// memory counts the bytes in log; nil counts nothing.
 	memory *answerMemory
 
--- a/proxy/node.go
+++ b/proxy/node.go
@@ -83,6 +83,8 @@
 	upstream    upstreamState
 	// crashes tells which requests were running when the upstream's process ended.
 	crashes crashWatch
+	// quarantine holds what is known of requests that end upstreams.
+	quarantine quarantine
 	// ownNotices holds what other nodes were told of the local upstream, by its id.
 	ownNotices map[string]notice
 
@@ -228,6 +230,7 @@
 				n.mu.Unlock()
 				n.decide(func(s sched.State) (sched.State, []sched.Decision) { return s.WithServiceTimeHint(typical), nil })
 				n.cancelAbandoned(ctx, now)
+				n.expireReports(now)
 				n.expireJobs(now)
 				go n.deleteUnreachable(ctx, now)
 			}
--- a/proxy/pick.go
+++ b/proxy/pick.go
@@ -6,6 +6,7 @@
 
 	cyclam "github.com/cyclamensaddle/cyclam"
 	"github.com/cyclamensaddle/cyclam/picker"
+	"github.com/cyclamensaddle/cyclam/poison"
 	"github.com/cyclamensaddle/cyclam/router"
 )
 
@@ -40,6 +41,9 @@
 	if len(open) == 0 {
 		return picker.Candidate{}, cyclam.ReasonNoUpstream
 	}
+	if c.suspected {
+		return trialTarget(c.fingerprint(), open), ""
+	}
 	i, ok := n.pickTuning.Pick(now, picker.Request{
 		From:          n.Settings.Self.Locality,
 		Bytes:         n.expectedBytes(c.route),
@@ -55,6 +59,11 @@
 	return open[i], ""
 }
 
+// fingerprint returns the fingerprint of the call's request.
+func (c *call) fingerprint() poison.Fingerprint {
+	return poison.FingerprintOf(c.offer.Method, c.offer.Host, string(c.offer.Target), c.offer.Body)
+}
+
 // Bytes of a request plus its answer that are assumed for a route without samples.
 const (
 	defaultExchangeBytes = 4000
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -91,11 +91,16 @@
 		return nil, declined(cyclam.ReasonWrongTarget, 0)
 	}
 	now := time.Now()
+	alone, refusal := n.screen(offer, now)
+	if refusal != nil {
+		return nil, refusal
+	}
 	n.acceptNotice(offer.Notice, now)
 	sentAt := intent.SentAt(now, n.timeOf(offer.SentUs), microseconds(offer.RemainingUs))
 	j := newJob(context.Background(), offer, attempt, now)
 	j.deadline = intent.Deadline(now, sentAt, microseconds(offer.RemainingUs))
 	j.memory = &n.answers
+	j.alone = alone
 	goal := intent.Deadline(now, sentAt, microseconds(offer.GoalUs))
 	if bytes := int(n.answerBytes[offer.Route]); bytes >= largeAnswerBytes {
 		ok, after := n.pacer.commit(now, n.scheduler.ServiceTime(), bytes, goal, j.deadline)
@@ -107,6 +112,9 @@
 		j.committed = bytes
 	}
 	n.jobs[attempt] = j
+	if alone {
+		n.quarantine.trial = j
+	}
 	j.append(&wire.Reply{Kind: &wire.Reply_Accepted{Accepted: &wire.Accepted{}}}, false)
 	n.decideLocked(func(s sched.State) (sched.State, []sched.Decision) {
 		return s.Arrive(now, sched.Work{
@@ -118,6 +126,7 @@
 			SoftDeadline: goal,
 			Deadline:     j.deadline,
 			Word:         n.wordOf(offer, now, sentAt),
+			Alone:        alone,
 		})
 	})
 	return j, nil
@@ -161,6 +170,9 @@
 		if err := j.maySend(now); err != nil {
 			return err
 		}
+		if err := n.maySend(j); err != nil {
+			return err
+		}
 		n.crashes.noteSent(j, now)
 		return nil
 	}
@@ -168,6 +180,9 @@
 		job:     j,
 		observe: func(meta cyclam.AnswerMeta) { n.observeAnswer(process, meta) },
 	}
+	if j.alone {
+		n.awaitQuiet(j)
+	}
 	n.meters.upstreamRequests.Inc(1)
 	err := n.origin.Do(j.ctx, origin.Request{
 		ID:         id,
@@ -194,11 +209,15 @@
 
 // noteRunEnd records what the end of a run says of the upstream's process.
 func (n *Node) noteRunEnd(j *job, sink *jobSink, err error) {
+	answered := false
+	defer func() { n.endTrial(j, answered) }()
 	switch {
 	case errors.Is(err, origin.ErrNotSent), sink.meta.NotRun, sink.meta.Misdirected:
 		n.crashes.noteNotRun(j)
 	case err == nil && sink.status != http.StatusGatewayTimeout:
+		answered = true
 		n.crashes.noteAnswered(j)
+		n.noteAnswered(j.offer)
 	case n.crashes.noteLost(j, time.Now()) && j.ctx.Err() == nil:
 		go n.checkUpstream()
 	}
@@ -239,6 +258,10 @@
 	switch {
 	case errors.Is(err, errOldWord):
 		run.Ran, reason = false, cyclam.ReasonUnconfirmed
+	case errors.Is(err, errBanned):
+		run.Ran, reason = false, cyclam.ReasonBanned
+	case errors.Is(err, errSuspected):
+		run.Ran, reason = false, cyclam.ReasonSuspected
 	case errors.Is(err, origin.ErrNotSent) && (j.ctx.Err() != nil || errors.Is(err, context.DeadlineExceeded)):
 		// The job was cancelled before any of the request was sent, which says nothing
 		// about the upstream's health.
--- a/proxy/store.go
+++ b/proxy/store.go
@@ -305,6 +305,7 @@
 			n.Log.Warn("entry-unreadable", "peer", name, "error", err)
 			continue
 		}
+		n.learnEntry(o)
 		entries = append(entries, storedEndpoint{
 			endpoint: endpoint,
 			at:       o.Position,
@@ -361,6 +362,7 @@
 		n.Log.Warn("entry-unreadable", "peer", name, "error", err)
 		return
 	}
+	n.learnEntry(e.Object)
 	seen := storedEndpoint{
 		endpoint: endpoint,
 		at:       e.Object.Position,
--- a/proxy/upstream.go
+++ b/proxy/upstream.go
@@ -75,7 +75,7 @@
 	leaving := n.upstream.leaving
 	n.schedMu.Unlock()
 	if newProcess {
-		n.logEnd(n.crashes.noteReplaced(now), "replaced")
+		n.noteCrash(n.crashes.noteReplaced(now), "replaced")
 	}
 	if newProcess || leaving != known.leaving {
 		n.Log.Info("upstream-changed",
@@ -215,7 +215,7 @@
 	replaced := n.upstream.process != process
 	n.schedMu.Unlock()
 	if replaced {
-		n.logEnd(n.crashes.noteReplaced(time.Now()), "replaced")
+		n.noteCrash(n.crashes.noteReplaced(time.Now()), "replaced")
 	}
 	n.schedMu.Lock()
 	defer n.schedMu.Unlock()
--- /dev/null
+++ b/sched/alone_test.go
@@ -0,0 +1,45 @@
+package sched
+
+import (
+	"slices"
+	"testing"
+)
+
+// Work that may end the upstream's process must start once nothing else runs, and nothing
+// may start beside it: what ran beside it would be lost with it.
+func TestAloneWork(t *testing.T) {
+	s := newKnown(4)
+	arrive := func(number int, alone bool) func() (State, []Decision) {
+		w := newWork(number, 0, 1000, 2000)
+		w.Alone = alone
+		return func() (State, []Decision) { return s.Arrive(at(0), w) }
+	}
+	end := func() (State, []Decision) { return s.End(at(0), RunResult{}) }
+	for _, step := range []struct {
+		name string
+		next func() (State, []Decision)
+		want []uint64
+	}{
+		{"ordinary work", arrive(1, false), []uint64{1}},
+		{"work to run alone waits", arrive(2, true), nil},
+		{"what comes after it waits too", arrive(3, false), nil},
+		{"it starts once nothing runs", end, []uint64{2}},
+		{"nothing starts beside it", arrive(4, false), nil},
+		{"the others start after it", end, []uint64{3, 4}},
+	} {
+		next, decisions := step.next()
+		s = next
+		var got []uint64
+		for _, d := range decisions {
+			if d.Start {
+				got = append(got, d.Attempt.Number)
+			}
+		}
+		if !slices.Equal(got, step.want) {
+			t.Errorf("%s: got starts %v, want %v", step.name, got, step.want)
+		}
+	}
+	if got, want := s.Load(at(0)).Running, 2; got != want {
+		t.Errorf("running: got %d, want %d", got, want)
+	}
+}
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -129,18 +129,21 @@
 	var decisions []Decision
 	kept := s.queue[:0]
 	silent := 0
+	// held is set once work that must run alone is next: what runs has to end first.
+	held := false
 	for _, w := range s.queue {
 		if !w.Deadline.After(now) {
 			decisions = append(decisions, refuse(w.Attempt, cyclam.ReasonDeadlineExceeded, 0))
 			continue
 		}
-		if w.Word.Allows(now) {
+		if w.Word.Allows(now) && !held {
 			next, ok := s.start(now, w)
 			s = next
 			if ok {
 				decisions = append(decisions, started(w))
 				continue
 			}
+			held = w.Alone
 		}
 		ahead := len(kept)
 		end := now.Add(s.expectedWait(now, ahead) + s.expectedServiceTime(w.Route))
@@ -173,7 +176,7 @@
 // start returns the state after the start of work; false means that there is no free
 // slot or that the rate limit does not allow it yet.
 func (s State) start(now time.Time, w Work) (State, bool) {
-	if s.running >= s.limit(now) {
+	if s.running >= s.limit(now) || s.alone || w.Alone && s.running > 0 {
 		return s, false
 	}
 	next, ok := s.rate.take(now, w)
@@ -183,13 +186,14 @@
 	}
 	s.rate = next
 	s.running++
+	s.alone = w.Alone
 	return s, true
 }
 
 // shortage returns the reason for refusing work that can't start in time.
 func (s State) shortage(now time.Time, w Work) cyclam.Reason {
 	switch {
-	case s.running >= s.limit(now):
+	case s.running >= s.limit(now), s.alone, w.Alone:
 		return cyclam.ReasonOverloaded
 	case !w.Word.Allows(now):
 		return cyclam.ReasonUnconfirmed
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -12,7 +12,9 @@
 // that rate, divided among senders and urgencies, and what it leaves no room for is
 // refused at once), requests made by running work (they go first, because the work that waits
 // for them holds a slot at another upstream), and callers that leave while their work waits
-// (work whose sender has not been heard for too long is passed over until it has been asked).
+// (work whose sender has not been heard for too long is passed over until it has been asked),
+// and requests that may end the upstream's process (they run alone, so that nothing is lost
+// with them).
 package sched
 
 import (
@@ -48,6 +50,9 @@
 	Deadline     time.Time
 	// Word is what is known of the sender's wish.
 	Word intent.Word
+	// Alone marks work that runs while nothing else does, because it may end the
+	// upstream's process.
+	Alone bool
 }
 
 // Decision is the result of scheduling for one attempt.
@@ -69,7 +74,9 @@
 	Tuning Tuning
 
 	running int
-	queue   []Work
+	// alone is set while work runs that must run alone.
+	alone bool
+	queue []Work
 	// queuedSince is when the queue became non-empty; zero while it is empty.
 	queuedSince time.Time
 	// known is set once an upstream has registered or has been detected.
@@ -186,8 +193,12 @@
 			waiting++
 		}
 	}
+	running := s.running
+	if s.alone || slices.ContainsFunc(s.queue, func(w Work) bool { return w.Alone }) {
+		running = max(running, s.limit(now))
+	}
 	return cyclam.Load{
-		Running:     s.running,
+		Running:     running,
 		Waiting:     waiting,
 		Limit:       s.limit(now),
 		ServiceTime: s.settledServiceTime(),
@@ -269,6 +280,7 @@
 // End frees the slot of a run, updates the averages and starts queued work.
 func (s State) End(now time.Time, run RunResult) (State, []Decision) {
 	s.running = max(0, s.running-1)
+	s.alone = s.alone && s.running > 0
 	if run.Ran && !run.Failed {
 		previous := s.expectedServiceTime(run.Route)
 		runs := s.routes[run.Route].runs
