--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -58,6 +59,9 @@
 	if !ok || e.Control == "" || e.Service == "" {
 		return cyclam.Endpoint{}, errors.Errorf("decode entry %s: unknown state or empty field: state %q, control %q, service %q", o.Name, e.State, e.Control, e.Service)
 	}
+	if _, err := netip.ParseAddrPort(e.Control); err != nil {
+		return cyclam.Endpoint{}, errors.Wrap(err, "decode entry "+o.Name)
+	}
 	return cyclam.Endpoint{
 		Identity: cyclam.Identity{
 			Instance:    cyclam.InstanceName(o.Name),
