Test heads that are cut short, and earlier refusals that are repeated

No change of the code was needed: answers are matched by the request's id, refusals without one end their connection, and a head counts once its empty line is read.

--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -256,3 +256,67 @@
 		t.Errorf("connections: got %d, want %d, as the answer on the first one may be a late copy: %+v", got, want, out.head)
 	}
 }
+
+// resetEvery is how many places of a cut there are to one at which the connection is reset.
+const resetEvery = 16
+
+// An upstream that stops within the head of its answer and closes has given no answer: there
+// is nothing to pass on, and what has arrived must not be taken for a short answer.
+func TestHeadCutShort(t *testing.T) {
+	for name, answer := range map[string]string{
+		"with a length": signedAnswer,
+		"in chunks":     "HTTP/1.1 200 OK\r\nX-Id: $ID\r\nX-Signed: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"until closed":  "HTTP/1.1 200 OK\r\nX-Id: $ID\r\nX-Signed: 1\r\n\r\n",
+		"no content":    "HTTP/1.1 204 No Content\r\nX-Id: $ID\r\nX-Signed: 1\r\n\r\n",
+		"old version":   "HTTP/1.0 200 OK\nX-Id: $ID\nX-Signed: 1\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			answer = strings.ReplaceAll(answer, "$ID", "cut")
+			end := strings.Index(answer, "\r\n\r\n") + len("\r\n\r\n")
+			if name == "old version" {
+				end = len(answer)
+			}
+			for cut := range end {
+				endings := []string{""}
+				if cut%resetEvery == 0 {
+					endings = append(endings, "RST")
+				}
+				for _, ending := range endings {
+					s := newScriptedUpstream(t, answer[:cut]+ending)
+					out, err := do(t, newPool(s.address), "cut")
+					if err == nil || out.head.Status != 0 {
+						t.Errorf("answer that ends in %q: got status %d and body %q, want an error", answer[:cut], out.head.Status, out.body.String())
+					}
+				}
+			}
+		})
+	}
+}
+
+// An earlier refusal that a faulty upstream writes once more on a kept connection says
+// nothing of the request that is running there now.
+func TestEarlierRefusalOnKeptConnection(t *testing.T) {
+	for name, refusal := range map[string]string{
+		"with its id":      "HTTP/1.1 503 Full\r\nX-Id: first\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"with a body":      "HTTP/1.1 503 Full\r\nX-Id: first\r\nX-Not-Run: 1\r\nContent-Length: 4\r\n\r\nfull",
+		"without an id":    "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"misdirected":      "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n",
+		"rate limited":     "HTTP/1.1 429 Too Many\r\nX-Id: first\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"cut and repeated": "HTTP/1.1 503 Full\r\nX-Id: first\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\nHTTP/1.1 503 Fu",
+	} {
+		t.Run(name, func(t *testing.T) {
+			first := strings.TrimSuffix(refusal, "HTTP/1.1 503 Fu")
+			s := newScriptedUpstream(t, first, refusal+"\r\n"+signedAnswer)
+			p := newPool(s.address)
+			if out, err := do(t, p, "first"); err != nil || !out.head.Meta.NotRun && !out.head.Meta.Misdirected {
+				t.Fatalf("first: got %+v, %v, want a refusal", out.head, err)
+			}
+			out, err := do(t, p, "second")
+			refused := out.head.Meta.NotRun || out.head.Meta.Misdirected
+			// A new connection begins with the refusal, which is then the request's own.
+			if s.conns.Load() == 1 && (refused || errors.Is(err, ErrNotSent)) {
+				t.Errorf("second: got %+v, %v, want no word that it was not run", out.head, err)
+			}
+		})
+	}
+}
