Find the requests at the end of a process that a frozen node has missed

A node that was frozen while its upstream ended and came back hears of the new process first, so that the requests that had run were not counted; what is still outstanding at the process before counts now (TestRequestsAtTheEndOfAProcess, which has the orders in which an end may show). An upstream's own 504 is no reason any more to open a connection to it: it has answered. Fingerprints and the forms in which reports are passed on are made once, and a table that has not changed is not replaced. The status page lists the requests that are suspected or banned.

--- a/poison/table.go
+++ b/poison/table.go
@@ -47,6 +47,18 @@
 	Banned
 )
 
+// String returns the name of the level in logs.
+func (l Level) String() string {
+	switch l {
+	case Suspected:
+		return "suspected"
+	case Banned:
+		return "banned"
+	default:
+		return "allowed"
+	}
+}
+
 // Verdict is the level of a request, and how long a ban still holds.
 type Verdict struct {
 	Level     Level
@@ -168,6 +180,17 @@
 // Verdict returns how a request is to be treated now.
 func (t Table) Verdict(now time.Time, f Fingerprint) Verdict { return t.records[f].verdict(now) }
 
+// Restricted returns the requests that are not allowed to run like others.
+func (t Table) Restricted(now time.Time) map[Fingerprint]Verdict {
+	restricted := map[Fingerprint]Verdict{}
+	for f, r := range t.records {
+		if v := r.verdict(now); v.Level != Allowed {
+			restricted[f] = v
+		}
+	}
+	return restricted
+}
+
 // WithCrash returns the table after a process of the instance's upstream has ended while it
 // ran these requests, each named once.
 func (t Table) WithCrash(now time.Time, instance cyclam.InstanceName, running []Fingerprint) Table {
@@ -187,17 +210,17 @@
 }
 
 // WithAnswer returns the table after the instance's upstream has answered a request, and
-// whether that has changed how it is treated.
+// whether it has changed.
 func (t Table) WithAnswer(now time.Time, instance cyclam.InstanceName, f Fingerprint) (Table, bool) {
-	known, ok := t.records[f]
-	if !ok || known.crashes == 0 {
+	known := t.records[f]
+	if known.crashes == 0 {
 		return t, false
 	}
 	report := known.reports[instance]
 	report.Instance, report.Fingerprint = instance, f
 	report.Answered = uint32(min(known.total, math.MaxUint32))
-	next, _ := t.WithReports(now, report)
-	return next, known.verdict(now) != Verdict{}
+	next, changed := t.WithReports(now, report)
+	return next, len(changed) > 0
 }
 
 // WithReports returns the table with the reports of any instances, and the fingerprints that
@@ -253,19 +276,14 @@
 	)
 }
 
-// WithoutExpired returns the table without the requests that have crashed nothing for long.
-func (t Table) WithoutExpired(now time.Time) Table {
-	expired := func(_ Fingerprint, r record) bool { return now.After(r.expiresAt()) }
-	for f, r := range t.records {
-		if expired(f, r) {
-			records := maps.Clone(t.records)
-			maps.DeleteFunc(records, expired)
-			return Table{
-				records: records,
-			}
-		}
-	}
-	return t
+// WithoutExpired returns the table without the requests that have crashed nothing for long,
+// and whether there were any.
+func (t Table) WithoutExpired(now time.Time) (Table, bool) {
+	records := maps.Clone(t.records)
+	maps.DeleteFunc(records, func(_ Fingerprint, r record) bool { return now.After(r.expiresAt()) })
+	return Table{
+		records: records,
+	}, len(records) < len(t.records)
 }
 
 // Own returns the reports of one instance on the requests that matter most, at most limit.
--- a/poison/table_test.go
+++ b/poison/table_test.go
@@ -124,7 +124,7 @@
 		t.Errorf("rest of the ban: got %v, want %v", got, want)
 	}
 	after := epoch.Add(banTime)
-	if got, want := table.WithoutExpired(after).Verdict(after, f).Level, Suspected; got != want {
+	if got, want := table.Verdict(after, f).Level, Suspected; got != want {
 		t.Errorf("level after the ban: got %v, want %v", got, want)
 	}
 	again := table.WithCrash(after, "b", []Fingerprint{f})
@@ -135,7 +135,10 @@
 	if got, want := answered.Verdict(after, f).Level, Allowed; got != want || !changed {
 		t.Errorf("level after an answer: got %v (changed %v), want %v", got, changed, want)
 	}
-	if got := again.WithoutExpired(after.Add(2*banTime + keptFor + time.Second)); !got.Empty() {
+	if _, changed := table.WithoutExpired(after); changed {
+		t.Error("after the ban: got the request forgotten, want it remembered")
+	}
+	if got, changed := again.WithoutExpired(after.Add(2*banTime + keptFor + time.Second)); !got.Empty() || !changed {
 		t.Errorf("long after the last ban: got %d requests, want none", len(got.records))
 	}
 }
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -33,6 +33,8 @@
 	refusals     map[cyclam.Identity]int
 	lost         map[cyclam.Identity]int
 	maybeStarted map[cyclam.Identity]bool
+	// fingerprint returns that of the request.
+	fingerprint func() poison.Fingerprint
 	// suspected is set if the request may end its upstream: it is offered to run alone.
 	suspected bool
 	// refused decides from the refusals and losses whether the call is sent again.
@@ -288,7 +290,7 @@
 // mayRun reports whether the request is not kept from upstreams. A suspect is sent once: it
 // may have ended an upstream.
 func (c *call) mayRun() bool {
-	switch v := c.node.verdict(c.offer); v.Level {
+	switch v := c.node.verdict(c.fingerprint); v.Level {
 	case poison.Banned:
 		c.reason = cyclam.ReasonBanned
 		c.noteRetryAfter(v.Remaining)
--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cyclamensaddle/cyclam/poison"
+	"github.com/cyclamensaddle/cyclam/wire"
 	"github.com/pkg/errors"
 )
 
@@ -16,7 +17,7 @@
 type crashWatch struct {
 	mu sync.Mutex
 	// sent holds the runs whose requests have been sent and that have not ended.
-	sent map[*job]sentRun
+	sent map[*job]time.Time
 	// lost holds runs that have ended without an answer, from the earliest on, until the
 	// process has answered a later one.
 	lost []lostRun
@@ -28,17 +29,10 @@
 	replaced bool
 }
 
-// sentRun is a request that was sent to the upstream.
-type sentRun struct {
-	fingerprint poison.Fingerprint
-	at          time.Time
-}
-
 // lostRun is a run that has ended without an answer.
 type lostRun struct {
-	sentRun
-
-	lostAt time.Time
+	fingerprint poison.Fingerprint
+	lostAt      time.Time
 }
 
 const (
@@ -56,10 +50,11 @@
 	checkPause = 100 * time.Millisecond
 )
 
-// fingerprintOf returns the fingerprint of a job's request, which must not have ended.
-func (j *job) fingerprintOf() poison.Fingerprint {
-	o := j.offer
-	return poison.FingerprintOf(o.Method, o.Host, string(o.Target), o.Body)
+// fingerprintOf returns the fingerprint of an offer's request, once it is asked for.
+func fingerprintOf(o *wire.Offer) func() poison.Fingerprint {
+	return sync.OnceValue(func() poison.Fingerprint {
+		return poison.FingerprintOf(o.Method, o.Host, string(o.Target), o.Body)
+	})
 }
 
 // noteSent records that a job's request is about to be sent.
@@ -67,12 +62,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.sent == nil {
-		w.sent = map[*job]sentRun{}
-	}
-	w.sent[j] = sentRun{
-		fingerprint: j.fingerprintOf(),
-		at:          now,
+		w.sent = map[*job]time.Time{}
 	}
+	w.sent[j] = now
 }
 
 // noteNotRun records that a job's request was not sent after all, or that the upstream did
@@ -88,13 +80,13 @@
 func (w *crashWatch) noteAnswered(j *job) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	run, ok := w.sent[j]
+	sentAt, ok := w.sent[j]
 	if !ok {
 		return
 	}
 	delete(w.sent, j)
-	w.lost = slices.DeleteFunc(w.lost, func(l lostRun) bool { return run.at.Sub(l.lostAt) > crashDelay })
-	if run.at.After(w.endedAt) {
+	w.lost = slices.DeleteFunc(w.lost, func(l lostRun) bool { return sentAt.Sub(l.lostAt) > crashDelay })
+	if sentAt.After(w.endedAt) {
 		w.replaced = true
 	}
 }
@@ -104,9 +96,9 @@
 func (w *crashWatch) noteLost(j *job, now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	run, ok := w.sent[j]
+	sentAt, ok := w.sent[j]
 	delete(w.sent, j)
-	if !ok || !run.at.After(w.endedAt) {
+	if !ok || !sentAt.After(w.endedAt) {
 		return false
 	}
 	w.replaced = true
@@ -115,8 +107,8 @@
 		w.lost = w.lost[1:]
 	}
 	w.lost = append(w.lost, lostRun{
-		sentRun: run,
-		lostAt:  now,
+		fingerprint: j.fingerprint(),
+		lostAt:      now,
 	})
 	return true
 }
@@ -151,21 +143,7 @@
 func (w *crashWatch) noteEnd(now time.Time) []poison.Fingerprint {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	var running []poison.Fingerprint
-	for _, run := range w.sent {
-		if run.at.After(w.endedAt) {
-			running = append(running, run.fingerprint)
-		}
-	}
-	for _, run := range w.lost {
-		if now.Sub(run.lostAt) <= crashDelay {
-			running = append(running, run.fingerprint)
-		}
-	}
-	w.lost = nil
-	w.endedAt, w.replaced = now, false
-	slices.Sort(running)
-	return slices.Compact(running)
+	return w.end(now, crashDelay)
 }
 
 // noteReplaced records that another process has reported itself, and returns the requests
@@ -175,17 +153,29 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	known := !w.replaced && !w.endedAt.IsZero()
-	w.replaced = true
+	defer func() { w.replaced = true }()
+	if known {
+		w.lost = nil
+		return nil
+	}
+	return w.end(now, lostKept)
+}
+
+// end returns the requests that were running or were lost within a time. The caller holds mu.
+func (w *crashWatch) end(now time.Time, within time.Duration) []poison.Fingerprint {
 	var running []poison.Fingerprint
+	for j, sentAt := range w.sent {
+		if sentAt.After(w.endedAt) {
+			running = append(running, j.fingerprint())
+		}
+	}
 	for _, run := range w.lost {
-		if now.Sub(run.lostAt) <= lostKept {
+		if now.Sub(run.lostAt) <= within {
 			running = append(running, run.fingerprint)
 		}
 	}
 	w.lost = nil
-	if known {
-		return nil
-	}
+	w.endedAt, w.replaced = now, false
 	slices.Sort(running)
 	return slices.Compact(running)
 }
--- a/proxy/crash_test.go
+++ b/proxy/crash_test.go
@@ -385,6 +385,10 @@
 	s.add("joining")
 	s.awaitReady(s.nodes...)
 	since := time.Now()
+	f := poison.FingerprintOf(http.MethodGet, "mesh.example", "/read/poison", nil)
+	if got, want := s.nodes[0].Status().Requests[f.String()].Level, "banned"; got != want {
+		t.Errorf("status of the request: got %q, want %q", got, want)
+	}
 	s.repeat(http.MethodGet, "/read/poison", time.Second)
 	if got := s.arrivals("/read/poison", since); got != 0 {
 		t.Errorf("banned request after all nodes were restarted: got to upstreams %d times, want 0", got)
@@ -429,14 +433,14 @@
 	f := poison.FingerprintOf(http.MethodGet, "mesh.example", "/read/poison", nil)
 	ended := time.Now().Add(-time.Hour)
 	for _, n := range s.nodes {
-		n.quarantine.update(n.self.Instance, func(table poison.Table) poison.Table {
+		n.quarantine.update(n.self.Instance, func(table poison.Table) (poison.Table, bool) {
 			next, _ := table.WithReports(ended, poison.Report{
 				Instance:    "gone",
 				Fingerprint: f,
 				Crashes:     3,
 				Bans:        1,
 			})
-			return next
+			return next, true
 		})
 	}
 	s.repeat(http.MethodGet, "/read/poison", 2*time.Second)
--- /dev/null
+++ b/proxy/crashwatch_test.go
@@ -0,0 +1,122 @@
+package proxy
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/poison"
+	"github.com/cyclamensaddle/cyclam/wire"
+)
+
+// The requests that ran when a process ended must be found however its end shows: at once,
+// late, after the next process has reported itself, or not at all but by that.
+func TestRequestsAtTheEndOfAProcess(t *testing.T) {
+	start := time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	type step struct {
+		what string
+		job  string
+		ms   int
+		// want are the requests that are found to have run at the end.
+		want []string
+	}
+	for name, steps := range map[string][]step{
+		"seen at once": {
+			{what: "send", job: "a"}, {what: "send", job: "b"},
+			{what: "lose", job: "a", ms: 100},
+			{what: "end", ms: 101, want: []string{"a", "b"}},
+			{what: "lose", job: "b", ms: 102},
+			{what: "replace", ms: 4000},
+		},
+		"given up shortly before": {
+			{what: "send", job: "a"}, {what: "lose", job: "a", ms: 50},
+			{what: "send", job: "b", ms: 60}, {what: "lose", job: "b", ms: 100},
+			{what: "end", ms: 101, want: []string{"a", "b"}},
+		},
+		"given up long before": {
+			{what: "send", job: "a"}, {what: "lose", job: "a", ms: 50},
+			{what: "send", job: "b", ms: 500}, {what: "lose", job: "b", ms: 600},
+			{what: "end", ms: 601, want: []string{"b"}},
+		},
+		"back before it was missed": {
+			{what: "send", job: "a"}, {what: "send", job: "b"},
+			{what: "lose", job: "a", ms: 100},
+			{what: "replace", ms: 150, want: []string{"a", "b"}},
+			{what: "lose", job: "b", ms: 151},
+			{what: "end", ms: 152},
+		},
+		"silent end": {
+			{what: "send", job: "a"}, {what: "lose", job: "a", ms: 1200},
+			{what: "replace", ms: 5000, want: []string{"a"}},
+		},
+		"lost answer": {
+			{what: "send", job: "a"}, {what: "lose", job: "a", ms: 100},
+			{what: "send", job: "b", ms: 400}, {what: "answer", job: "b", ms: 500},
+			{what: "replace", ms: 900},
+		},
+		"planned replacement": {
+			{what: "send", job: "a"}, {what: "answer", job: "a", ms: 100},
+			{what: "replace", ms: 900},
+		},
+		"twice before it reports itself": {
+			{what: "send", job: "a"}, {what: "lose", job: "a", ms: 100}, {what: "end", ms: 101, want: []string{"a"}},
+			{what: "send", job: "b", ms: 2000}, {what: "lose", job: "b", ms: 2100}, {what: "end", ms: 2101, want: []string{"b"}},
+			{what: "replace", ms: 4000},
+		},
+		"copies of one request": {
+			{what: "send", job: "a"}, {what: "send", job: "a again"},
+			{what: "lose", job: "a", ms: 100}, {what: "end", ms: 101, want: []string{"a"}},
+		},
+		"not run": {
+			{what: "send", job: "a"}, {what: "refuse", job: "a", ms: 10}, {what: "end", ms: 20},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := &crashWatch{}
+			jobs := map[string]*job{}
+			names := map[poison.Fingerprint]string{}
+			for _, s := range steps {
+				target := s.job
+				if target == "a again" {
+					target = "a"
+				}
+				j, ok := jobs[s.job]
+				if !ok {
+					j = newJob(context.Background(), &wire.Offer{
+						Target: []byte(target),
+					}, cyclam.AttemptID{}, at(s.ms))
+					jobs[s.job] = j
+					names[j.fingerprint()] = target
+				}
+				var found []poison.Fingerprint
+				// Runs begin after the epoch of the watch.
+				now := at(s.ms + 1)
+				switch s.what {
+				case "send":
+					w.noteSent(j, now)
+				case "lose":
+					w.noteLost(j, now)
+				case "answer":
+					w.noteAnswered(j)
+				case "refuse":
+					w.noteNotRun(j)
+				case "end":
+					found = w.noteEnd(now)
+				case "replace":
+					found = w.noteReplaced(now)
+				}
+				var got []string
+				for _, f := range found {
+					got = append(got, names[f])
+				}
+				slices.Sort(got)
+				if !slices.Equal(got, s.want) {
+					t.Errorf("%s %s after %d ms: got %v, want %v", s.what, s.job, s.ms, got, s.want)
+				}
+			}
+		})
+	}
+}
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -127,7 +127,7 @@
 		Upstream:    up.id,
 		Leaving:     up.leaving,
 		StartedMs:   startedMs,
-		Crashes:     n.quarantine.storedText(),
+		Crashes:     n.quarantine.current().stored,
 	})
 	e.Sequence = announced.Sequence
 	return e, announced
--- a/proxy/handle.go
+++ b/proxy/handle.go
@@ -69,6 +69,7 @@
 	c.offer.Nested = n.isRunning(meta.Parent)
 	c.refused.Nested = c.offer.Nested
 	c.offer.Body = body
+	c.fingerprint = fingerprintOf(c.offer)
 	if !c.offer.Nested {
 		n.countRequest(c.service)
 	}
--- a/proxy/job.go
+++ b/proxy/job.go
@@ -8,6 +8,7 @@
 
 	cyclam "github.com/cyclamensaddle/cyclam"
 	"github.com/cyclamensaddle/cyclam/intent"
+	"github.com/cyclamensaddle/cyclam/poison"
 	"github.com/cyclamensaddle/cyclam/wire"
 	"github.com/pkg/errors"
 )
@@ -26,6 +27,8 @@
 	// cancel ends the run with a cause, which is logged.
 	cancel context.CancelCauseFunc
 
+	// fingerprint returns that of the request. It is first called before the job ends.
+	fingerprint func() poison.Fingerprint
 	// alone is set if the request runs while nothing else does.
 	alone bool
 
@@ -89,12 +92,13 @@
 
 func newJob(ctx context.Context, offer *wire.Offer, attempt cyclam.AttemptID, now time.Time) *job {
 	j := &job{
-		offer:    offer,
-		attempt:  attempt,
-		arrived:  now,
-		deadline: now.Add(time.Duration(offer.RemainingUs) * time.Microsecond),
-		wake:     make(chan struct{}),
-		readers:  map[*jobCursor]bool{},
+		offer:       offer,
+		attempt:     attempt,
+		arrived:     now,
+		deadline:    now.Add(time.Duration(offer.RemainingUs) * time.Microsecond),
+		fingerprint: fingerprintOf(offer),
+		wake:        make(chan struct{}),
+		readers:     map[*jobCursor]bool{},
 	}
 	j.ctx, j.cancel = context.WithCancelCause(ctx)
 	return j
--- a/proxy/pick.go
+++ b/proxy/pick.go
@@ -6,7 +6,6 @@
 
 	cyclam "github.com/cyclamensaddle/cyclam"
 	"github.com/cyclamensaddle/cyclam/picker"
-	"github.com/cyclamensaddle/cyclam/poison"
 	"github.com/cyclamensaddle/cyclam/router"
 )
 
@@ -59,11 +58,6 @@
 	return open[i], ""
 }
 
-// fingerprint returns the fingerprint of the call's request.
-func (c *call) fingerprint() poison.Fingerprint {
-	return poison.FingerprintOf(c.offer.Method, c.offer.Host, string(c.offer.Target), c.offer.Body)
-}
-
 // Bytes of a request plus its answer that are assumed for a route without samples.
 const (
 	defaultExchangeBytes = 4000
--- a/proxy/quarantine.go
+++ b/proxy/quarantine.go
@@ -19,17 +19,25 @@
 // the others through its entry in the store, which also outlasts its process, and through
 // the exchanges between nodes.
 type quarantine struct {
-	// table is replaced while mu is held.
+	// known is replaced while mu is held.
 	mu    sync.Mutex
-	table atomic.Pointer[poison.Table]
-	// stored is the text of this instance's reports in its entry.
-	stored atomic.Pointer[string]
+	known atomic.Pointer[knownCrashes]
 	// trial is the last attempt that was accepted to run alone. The next one may follow at
 	// nextTrial, once it has ended. Both are guarded by Node.schedMu.
 	trial     *job
 	nextTrial time.Time
 }
 
+// knownCrashes is a table with the forms in which it is passed on; none of them changes.
+type knownCrashes struct {
+	poison.Table
+
+	// stored holds this instance's reports for its entry, sent those of all instances for
+	// other nodes.
+	stored string
+	sent   []*wire.CrashReport
+}
+
 const (
 	// maxStoredReports bounds the reports in an entry, to about 1.5 KB.
 	maxStoredReports = 64
@@ -48,39 +56,36 @@
 	errSuspected = errors.New("request is suspected of ending upstreams and would not run alone")
 )
 
-// current returns the table.
-func (q *quarantine) current() poison.Table {
-	if t := q.table.Load(); t != nil {
-		return *t
-	}
-	return poison.Table{}
-}
-
-// storedText returns the reports of this instance for its entry.
-func (q *quarantine) storedText() string {
-	if text := q.stored.Load(); text != nil {
-		return *text
+// current returns what is known.
+func (q *quarantine) current() knownCrashes {
+	if k := q.known.Load(); k != nil {
+		return *k
 	}
-	return ""
+	return knownCrashes{}
 }
 
-// update replaces the table by the result of change.
-func (q *quarantine) update(self cyclam.InstanceName, change func(poison.Table) poison.Table) {
+// update replaces the table by the result of change, unless that is false.
+func (q *quarantine) update(self cyclam.InstanceName, change func(poison.Table) (poison.Table, bool)) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	next := change(q.current())
-	text := poison.FormatReports(next.Own(self, maxStoredReports))
-	q.table.Store(&next)
-	q.stored.Store(&text)
+	next, changed := change(q.current().Table)
+	if !changed {
+		return
+	}
+	q.known.Store(&knownCrashes{
+		Table:  next,
+		stored: poison.FormatReports(next.Own(self, maxStoredReports)),
+		sent:   encodeReports(next.All(maxSentReports)),
+	})
 }
 
-// verdict returns how an offer's request is to be treated.
-func (n *Node) verdict(o *wire.Offer) poison.Verdict {
-	t := n.quarantine.current()
-	if t.Empty() {
+// verdict returns how a request is to be treated.
+func (n *Node) verdict(fingerprint func() poison.Fingerprint) poison.Verdict {
+	known := n.quarantine.current()
+	if known.Empty() {
 		return poison.Verdict{}
 	}
-	return t.Verdict(time.Now(), poison.FingerprintOf(o.Method, o.Host, string(o.Target), o.Body))
+	return known.Verdict(time.Now(), fingerprint())
 }
 
 // noteCrash records that the upstream's process has ended while it ran these requests, and
@@ -92,31 +97,28 @@
 	now := time.Now()
 	n.meters.upstreamCrashes.Inc(1)
 	n.Log.Warn("upstream-crashed", "upstream", n.upstreamID(), "sign", sign, "running", len(running), "requests", joinFingerprints(running))
-	n.quarantine.update(n.self.Instance, func(t poison.Table) poison.Table {
-		return t.WithCrash(now, n.self.Instance, running)
+	n.quarantine.update(n.self.Instance, func(t poison.Table) (poison.Table, bool) {
+		return t.WithCrash(now, n.self.Instance, running), true
 	})
 	n.requestEntryWrite()
-	n.noteVerdicts(now, running)
-	if n.anyRestricted(now, running) {
+	if n.logVerdicts(now, running) {
 		n.spreadReports()
 	}
 }
 
-// noteAnswered records that the upstream has answered a request.
-func (n *Node) noteAnswered(o *wire.Offer) {
+// noteAnswered records that the upstream has answered a job's request.
+func (n *Node) noteAnswered(j *job) {
 	if n.quarantine.current().Empty() {
 		return
 	}
-	now := time.Now()
-	f := poison.FingerprintOf(o.Method, o.Host, string(o.Target), o.Body)
+	now, f := time.Now(), j.fingerprint()
 	freed := false
-	n.quarantine.update(n.self.Instance, func(t poison.Table) poison.Table {
-		next, changed := t.WithAnswer(now, n.self.Instance, f)
-		freed = changed
-		return next
+	n.quarantine.update(n.self.Instance, func(t poison.Table) (poison.Table, bool) {
+		freed = t.Verdict(now, f).Level != poison.Allowed
+		return t.WithAnswer(now, n.self.Instance, f)
 	})
 	if freed {
-		n.Log.Info("request-cleared", "request", f)
+		n.Log.Info("request-cleared", "id", string(j.offer.Id), "request", f)
 		n.requestEntryWrite()
 		n.spreadReports()
 	}
@@ -129,14 +131,11 @@
 	}
 	now := time.Now()
 	var changed []poison.Fingerprint
-	n.quarantine.update(n.self.Instance, func(t poison.Table) poison.Table {
-		next, news := t.WithReports(now, reports...)
-		changed = news
-		return next
+	n.quarantine.update(n.self.Instance, func(t poison.Table) (poison.Table, bool) {
+		t, changed = t.WithReports(now, reports...)
+		return t, len(changed) > 0
 	})
-	if len(changed) > 0 {
-		n.noteVerdicts(now, changed)
-	}
+	n.logVerdicts(now, changed)
 }
 
 // learnStored merges the reports in a stored entry.
@@ -149,41 +148,40 @@
 	n.learnReports(reports)
 }
 
-// noteVerdicts logs the requests that are restricted.
-func (n *Node) noteVerdicts(now time.Time, requests []poison.Fingerprint) {
-	t := n.quarantine.current()
+// logVerdicts logs the requests that are not to be treated like others, and reports whether
+// there are any.
+func (n *Node) logVerdicts(now time.Time, requests []poison.Fingerprint) bool {
+	known := n.quarantine.current()
+	restricted := false
 	for _, f := range requests {
-		switch v := t.Verdict(now, f); v.Level {
+		v := known.Verdict(now, f)
+		restricted = restricted || v.Level != poison.Allowed
+		switch v.Level {
 		case poison.Banned:
 			n.Log.Warn("request-banned", "request", f, "for", v.Remaining)
 		case poison.Suspected:
 			n.Log.Warn("request-suspected", "request", f)
 		}
 	}
+	return restricted
 }
 
 // expireReports forgets requests that have ended nothing for long.
 func (n *Node) expireReports(now time.Time) {
-	if n.quarantine.current().Empty() {
-		return
+	if !n.quarantine.current().Empty() {
+		n.quarantine.update(n.self.Instance, func(t poison.Table) (poison.Table, bool) { return t.WithoutExpired(now) })
 	}
-	n.quarantine.update(n.self.Instance, func(t poison.Table) poison.Table { return t.WithoutExpired(now) })
-	n.requestEntryWrite()
-}
-
-func (n *Node) anyRestricted(now time.Time, requests []poison.Fingerprint) bool {
-	t := n.quarantine.current()
-	return slices.ContainsFunc(requests, func(f poison.Fingerprint) bool {
-		return t.Verdict(now, f).Level != poison.Allowed
-	})
 }
 
 // spreadReports sends the reports to the nodes to which there is a connection. The others
 // get them with their next exchange, or from the store.
 func (n *Node) spreadReports() {
+	newest := n.configHistory.newest()
 	message := &wire.Knowledge{
-		Version: uint64(n.version()),
-		Crashes: n.encodeReports(),
+		Version:      uint64(newest.version),
+		ConfigDigest: newest.digest,
+		ConfigEra:    newest.era,
+		Crashes:      n.quarantine.current().sent,
 	}
 	n.linkMu.Lock()
 	defer n.linkMu.Unlock()
@@ -213,9 +211,9 @@
 }
 
 // encodeReports returns the reports for a message to another node.
-func (n *Node) encodeReports() []*wire.CrashReport {
+func encodeReports(reports []poison.Report) []*wire.CrashReport {
 	var messages []*wire.CrashReport
-	for _, r := range n.quarantine.current().All(maxSentReports) {
+	for _, r := range reports {
 		messages = append(messages, &wire.CrashReport{
 			Instance:    string(r.Instance),
 			Fingerprint: uint64(r.Fingerprint),
@@ -245,35 +243,32 @@
 	return reports
 }
 
-// screen decides whether an offered request may run here and whether alone. If it may not,
-// it returns the reply. The caller holds schedMu.
-func (n *Node) screen(offer *wire.Offer, now time.Time) (alone bool, refusal *wire.Reply) {
-	v := n.verdict(offer)
+// screen decides whether a job may run here, and whether alone. If it may not, it returns the
+// reply. The caller holds schedMu.
+func (n *Node) screen(j *job, now time.Time) *wire.Reply {
+	v := n.verdict(j.fingerprint)
+	q := &n.quarantine
+	reason, after := cyclam.Reason(""), time.Duration(0)
 	switch {
 	case v.Level == poison.Banned:
-		return false, n.declineRestricted(offer, cyclam.ReasonBanned, v.Remaining)
-	case v.Level == poison.Suspected && !offer.Alone:
-		return false, n.declineRestricted(offer, cyclam.ReasonSuspected, 0)
-	case !offer.Alone:
-		return false, nil
-	}
-	q := &n.quarantine
-	if q.trial != nil && !q.trial.hasEnded() || now.Before(q.nextTrial) {
-		return false, n.declineRestricted(offer, cyclam.ReasonOverloaded, trialPause)
+		reason, after = cyclam.ReasonBanned, v.Remaining
+	case v.Level == poison.Suspected && !j.offer.Alone:
+		reason = cyclam.ReasonSuspected
+	case j.offer.Alone && (q.trial != nil && !q.trial.hasEnded() || now.Before(q.nextTrial)):
+		reason, after = cyclam.ReasonOverloaded, trialPause
+	default:
+		j.alone = j.offer.Alone
+		return nil
 	}
-	return true, nil
-}
-
-func (n *Node) declineRestricted(offer *wire.Offer, reason cyclam.Reason, after time.Duration) *wire.Reply {
 	n.meters.countRefusal(reason)
-	n.Log.Info("attempt-restricted", "id", string(offer.Id), "service", offer.Service, "reason", reason, "retry-after", after)
+	n.Log.Info("attempt-restricted", append(n.jobFields(j), "request", j.fingerprint(), "reason", reason, "retry-after", after)...)
 	return declined(reason, after)
 }
 
-// maySend returns nil if the job's request may be sent to the upstream as things stand: more
+// mayRun returns nil if the job's request may be sent to the upstream as things stand: more
 // may be known of it than when it was accepted.
-func (n *Node) maySend(j *job) error {
-	switch v := n.verdict(j.offer); {
+func (n *Node) mayRun(j *job) error {
+	switch v := n.verdict(j.fingerprint); {
 	case v.Level == poison.Banned:
 		return errBanned
 	case v.Level == poison.Suspected && !j.alone:
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -91,16 +91,14 @@
 		return nil, declined(cyclam.ReasonWrongTarget, 0)
 	}
 	now := time.Now()
-	alone, refusal := n.screen(offer, now)
-	if refusal != nil {
+	j := newJob(context.Background(), offer, attempt, now)
+	if refusal := n.screen(j, now); refusal != nil {
 		return nil, refusal
 	}
 	n.acceptNotice(offer.Notice, now)
 	sentAt := intent.SentAt(now, n.timeOf(offer.SentUs), microseconds(offer.RemainingUs))
-	j := newJob(context.Background(), offer, attempt, now)
 	j.deadline = intent.Deadline(now, sentAt, microseconds(offer.RemainingUs))
 	j.memory = &n.answers
-	j.alone = alone
 	goal := intent.Deadline(now, sentAt, microseconds(offer.GoalUs))
 	if bytes := int(n.answerBytes[offer.Route]); bytes >= largeAnswerBytes {
 		ok, after := n.pacer.commit(now, n.scheduler.ServiceTime(), bytes, goal, j.deadline)
@@ -112,7 +110,7 @@
 		j.committed = bytes
 	}
 	n.jobs[attempt] = j
-	if alone {
+	if j.alone {
 		n.quarantine.trial = j
 	}
 	j.append(&wire.Reply{Kind: &wire.Reply_Accepted{Accepted: &wire.Accepted{}}}, false)
@@ -126,7 +124,7 @@
 			SoftDeadline: goal,
 			Deadline:     j.deadline,
 			Word:         n.wordOf(offer, now, sentAt),
-			Alone:        alone,
+			Alone:        j.alone,
 		})
 	})
 	return j, nil
@@ -170,7 +168,7 @@
 		if err := j.maySend(now); err != nil {
 			return err
 		}
-		if err := n.maySend(j); err != nil {
+		if err := n.mayRun(j); err != nil {
 			return err
 		}
 		n.crashes.noteSent(j, now)
@@ -217,8 +215,8 @@
 	case err == nil && sink.status != http.StatusGatewayTimeout:
 		answered = true
 		n.crashes.noteAnswered(j)
-		n.noteAnswered(j.offer)
-	case n.crashes.noteLost(j, time.Now()) && j.ctx.Err() == nil:
+		n.noteAnswered(j)
+	case n.crashes.noteLost(j, time.Now()) && err != nil && j.ctx.Err() == nil:
 		go n.checkUpstream()
 	}
 }
@@ -299,7 +297,7 @@
 			"waited", time.Since(j.arrived)-took,
 			"cause", context.Cause(j.ctx),
 			"unread-for", j.unreadFor(time.Now()),
-			"request", j.fingerprintOf(),
+			"request", j.fingerprint(),
 			"error", err,
 		)...)
 	}
--- a/proxy/status.go
+++ b/proxy/status.go
@@ -19,6 +19,16 @@
 	Upstream    UpstreamStatus      `json:"upstream"`
 	// Nodes counts the other nodes by the state of their endpoint.
 	Nodes map[string]int `json:"nodes"`
+	// Requests holds those that are suspected or banned because upstreams have ended under
+	// them, by fingerprint.
+	Requests map[string]RequestStatus `json:"restricted-requests"`
+}
+
+// RequestStatus describes a request that is kept from upstreams, or runs alone.
+type RequestStatus struct {
+	Level string `json:"level"`
+	// Remaining is how long a ban still holds.
+	Remaining string `json:"remaining"`
 }
 
 // ConfigStatus describes the configuration in force.
@@ -58,6 +68,13 @@
 		Ready:       n.Ready(),
 		Stopping:    n.stopping.Load(),
 		Nodes:       map[string]int{},
+		Requests:    map[string]RequestStatus{},
+	}
+	for f, v := range n.quarantine.current().Restricted(now) {
+		s.Requests[f.String()] = RequestStatus{
+			Level:     v.Level.String(),
+			Remaining: v.Remaining.Round(time.Second).String(),
+		}
 	}
 	s.StoreEra, _ = n.storeEras.Current()
 	if text := n.configHistory.current(); text.id.version != 0 {
