Drill requests that crash backends, with the real program

Seven machines and one that joins; a request that crashes each backend is sent from all of them, with another one beside it, while nodes are frozen, killed, cut off from the store and start, and backends come back. Counted are the arrivals later than 3 s after the third crash through machines that have been undisturbed for 3 s: at most three may come.

--- a/stand/appsim/appsim.go
+++ b/stand/appsim/appsim.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -57,8 +58,16 @@
 	// OnArrive, if set, is called with the id of each attempt that arrives, whether it
 	// runs or not.
 	OnArrive func(attempt string)
+	// CrashSuffix, if set, is the end of the paths of requests that end the backend's process
+	// while they run. The next process starts after CrashPause, under the id that OnCrash
+	// returns.
+	CrashSuffix string
+	CrashPause  time.Duration
+	OnCrash     func() string
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// crashed is closed when the present process ends.
+	crashed  chan struct{}
 	slots    chan struct{}
 	running  int
 	waiting  int
@@ -80,7 +89,26 @@
 	b.mu.Lock()
 	b.slots = make(chan struct{}, b.Slots)
 	b.mu.Unlock()
-	b.Replace(b.ID)
+	for id := b.ID; ; {
+		if err := b.runProcess(ctx, id); err != nil || ctx.Err() != nil {
+			return err
+		}
+		id = b.OnCrash()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(b.CrashPause):
+		}
+	}
+}
+
+// runProcess runs one process of the backend until it crashes or ctx ends.
+func (b *Backend) runProcess(ctx context.Context, id string) error {
+	b.Replace(id)
+	crashed := make(chan struct{})
+	b.mu.Lock()
+	b.crashed = crashed
+	b.mu.Unlock()
 	listener, err := net.Listen("tcp", b.Address)
 	if err != nil {
 		return errors.Wrap(err, "listen for requests")
@@ -91,7 +119,11 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
-		<-ctx.Done()
+		select {
+		case <-ctx.Done():
+		case <-crashed:
+			cancel()
+		}
 		_ = server.Close()
 	}()
 	go b.report(ctx)
@@ -101,6 +133,17 @@
 	return nil
 }
 
+// crash ends the present process.
+func (b *Backend) crash() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	select {
+	case <-b.crashed:
+	default:
+		close(b.crashed)
+	}
+}
+
 // Replace makes the backend answer as another process, which has just started with an id.
 func (b *Backend) Replace(id string) {
 	b.mu.Lock()
@@ -186,6 +229,10 @@
 	case <-r.Context().Done():
 		panic(http.ErrAbortHandler)
 	}
+	if b.CrashSuffix != "" && strings.HasSuffix(r.URL.Path, b.CrashSuffix) {
+		b.crash()
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set(HeaderSignature, "3e1b.07")
 	w.Header().Set(headerLoad, b.load())
 	_, _ = io.WriteString(w, attempt)
--- a/stand/drill/machine_test.go
+++ b/stand/drill/machine_test.go
@@ -66,6 +66,8 @@
 	upstream     string
 	steady       bool
 	replacements int
+	// crashed is called when the backend crashes.
+	crashed func()
 	// arrived is called with each attempt that arrives at the backend.
 	arrived func(attempt string)
 }
@@ -125,6 +127,8 @@
 		Work:         func() time.Duration { return 5*time.Millisecond + rand.N(35*time.Millisecond) },
 		OnRun:        onRun,
 		OnArrive:     m.noteArrival,
+		CrashSuffix:  poisonSuffix,
+		OnCrash:      m.noteCrash,
 	}
 	listener, err := net.Listen("tcp", m.address(portStore))
 	if err != nil {
@@ -164,6 +168,18 @@
 	}
 }
 
+// noteCrash reports a crash of the backend and returns the id of its next process.
+func (m *machine) noteCrash() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.crashed != nil {
+		m.crashed()
+	}
+	m.replacements++
+	m.upstream = "i-" + m.name + "-" + strconv.Itoa(m.replacements)
+	return m.upstream
+}
+
 func (m *machine) address(port string) string { return net.JoinHostPort(m.ip, port) }
 
 func (m *machine) settings() ([]byte, error) {
