Lift the delay in TestTimeOnTheWayShortensDeadline before it holds up the answer

The door was right. The test delays the front's link by 1 s and lifts that after 0.5 s; its network delivers in order, so that whatever the front wrote shortly before 0.5 s, such as a probe, arrived shortly before 1.5 s, and its answer to the door's question of 1.0 s behind that: more than 0.4 s old, as Word asks for less.

--- a/proxy/late_test.go
+++ b/proxy/late_test.go
@@ -168,8 +168,11 @@
 	go func() { _, _, _, _ = p.request(ctx, p.front, http.MethodGet, "/load/x", 3*time.Second) }()
 	<-streams
 	p.links.up.setDelay(way)
-	time.AfterFunc(way/2, func() { p.links.up.setDelay(0) })
-	deadline := time.Now().Add(wait)
+	// Whatever is written until then arrives after the offer and before the answer to the
+	// door's question, which must not become too old by that.
+	time.AfterFunc(way/4, func() { p.links.up.setDelay(0) })
+	sent := time.Now()
+	deadline := sent.Add(wait)
 	status, body, _, err := p.request(t.Context(), p.front, http.MethodPost, "/book/x", wait)
 	if err != nil {
 		t.Fatal(err)
@@ -178,6 +181,9 @@
 		t.Fatalf("status: got %d %q, want %d", got, body, want)
 	}
 	run := <-starts
+	if got := run.at.Sub(sent); got < way {
+		t.Errorf("time on the way: got %v, want at least %v", got, way)
+	}
 	if got, want := run.at.Add(run.handed).Sub(deadline), goneWithin; got > want {
 		t.Errorf("handed beyond the deadline: got %v, want at most %v", got, want)
 	}
