--- a/poison/table_test.go
+++ b/poison/table_test.go
@@ -21,14 +21,14 @@
 	for _, c := range []struct {
 		method, host, target, body string
 	}{
-		{"GET", "a.example", "/x", ""},
-		{"POST", "a.example", "/x", ""},
-		{"GET", "b.example", "/x", ""},
-		{"GET", "a.example", "/y", ""},
-		{"GET", "a.example", "/x?page=1", ""},
-		{"GET", "a.example", "/x", "body"},
-		{"GET", "a.example", "/", "xbody"},
-		{"GETa", ".example", "/x", ""},
+		{method: "GET", host: "a.example", target: "/x", body: ""},
+		{method: "POST", host: "a.example", target: "/x", body: ""},
+		{method: "GET", host: "b.example", target: "/x", body: ""},
+		{method: "GET", host: "a.example", target: "/y", body: ""},
+		{method: "GET", host: "a.example", target: "/x?page=1", body: ""},
+		{method: "GET", host: "a.example", target: "/x", body: "body"},
+		{method: "GET", host: "a.example", target: "/", body: "xbody"},
+		{method: "GETa", host: ".example", target: "/x", body: ""},
 	} {
 		f := FingerprintOf(c.method, c.host, c.target, []byte(c.body))
 		if other, taken := known[f]; taken {
--- a/sched/alone_test.go
+++ b/sched/alone_test.go
@@ -20,12 +20,12 @@
 		next func() (State, []Decision)
 		want []uint64
 	}{
-		{"ordinary work", arrive(1, false), []uint64{1}},
-		{"work to run alone waits", arrive(2, true), nil},
-		{"what comes after it waits too", arrive(3, false), nil},
-		{"it starts once nothing runs", end, []uint64{2}},
-		{"nothing starts beside it", arrive(4, false), nil},
-		{"the others start after it", end, []uint64{3, 4}},
+		{name: "ordinary work", next: arrive(1, false), want: []uint64{1}},
+		{name: "work to run alone waits", next: arrive(2, true), want: nil},
+		{name: "what comes after it waits too", next: arrive(3, false), want: nil},
+		{name: "it starts once nothing runs", next: end, want: []uint64{2}},
+		{name: "nothing starts beside it", next: arrive(4, false), want: nil},
+		{name: "the others start after it", next: end, want: []uint64{3, 4}},
 	} {
 		next, decisions := step.next()
 		s = next
