Blame runs that were given up for a second, and a run that was alone for itself only

A run that its caller has left may end the process later than a quarter of a second after, as upstreams may go on with it; it counted for 0.25 s only, so that a request whose callers leave early would have been counted less often than it crashed. It counts for a second now, the latest 16 of them, so that a burst of callers that leave does not displace what was running (TestManyGivenUpBeforeTheEnd). A request that ran alone takes the blame alone: what was given up before it had a quarter of a second to show itself.

Without a failure seen; found by reading. TestRequestsAtTheEndOfAProcess has both cases.

--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -33,17 +33,26 @@
 type lostRun struct {
 	fingerprint poison.Fingerprint
 	lostAt      time.Time
+	// alone is set if it ran while nothing else did, givenUp if it was cut by this node.
+	alone   bool
+	givenUp bool
 }
 
 const (
-	// crashDelay is how long a request may run before it ends the process. A run that was
-	// given up may do so for as long afterwards, because the upstream may go on with it.
-	crashDelay = 250 * time.Millisecond
+	// crashDelay is how long after it was given up a run may end the process: the upstream may
+	// go on with it.
+	crashDelay = time.Second
+	// quietTime is how long after the last such run another one is put down to itself alone.
+	// It leaves the sender's word young enough for a start.
+	quietTime = 250 * time.Millisecond
+	// maxGivenUp bounds the runs given up before an end of the process that are counted with
+	// it, the latest ones: a burst of callers that leave would displace what was running.
+	maxGivenUp = 16
 	// lostKept is how long a lost run may be found to have ended the process, if that does
 	// not show before its successor reports itself.
 	lostKept = 10 * time.Second
 	// maxLostRuns bounds the lost runs that are kept.
-	maxLostRuns = 64
+	maxLostRuns = 256
 	// checkTimeout bounds the connection by which it is checked whether the process listens.
 	checkTimeout = 300 * time.Millisecond
 	// checkPause is the pause before a second check: the process may still have listened.
@@ -91,9 +100,10 @@
 	}
 }
 
-// noteLost records that a job ended without an answer. It returns false if its request was
-// not sent, or if the end of the process has been noted since.
-func (w *crashWatch) noteLost(j *job, now time.Time) bool {
+// noteLost records that a job ended without an answer; givenUp is set if this node has cut
+// it. It returns false if its request was not sent, or if the end of the process has been
+// noted since.
+func (w *crashWatch) noteLost(j *job, now time.Time, givenUp bool) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	sentAt, ok := w.sent[j]
@@ -109,6 +119,8 @@
 	w.lost = append(w.lost, lostRun{
 		fingerprint: j.fingerprint(),
 		lostAt:      now,
+		alone:       j.alone,
+		givenUp:     givenUp,
 	})
 	return true
 }
@@ -161,21 +173,35 @@
 	return w.end(now, lostKept)
 }
 
-// end returns the requests that were running or were lost within a time. The caller holds mu.
+// end returns the requests that were running or were lost within a time; only the one that
+// ran alone, if there was one. The caller holds mu.
 func (w *crashWatch) end(now time.Time, within time.Duration) []poison.Fingerprint {
-	var running []poison.Fingerprint
+	var running, alone []poison.Fingerprint
 	for j, sentAt := range w.sent {
 		if sentAt.After(w.endedAt) {
 			running = append(running, j.fingerprint())
+			if j.alone {
+				alone = append(alone, j.fingerprint())
+			}
 		}
 	}
-	for _, run := range w.lost {
-		if now.Sub(run.lostAt) <= within {
+	givenUp := 0
+	for _, run := range slices.Backward(w.lost) {
+		if run.givenUp {
+			givenUp++
+		}
+		if now.Sub(run.lostAt) <= within && (!run.givenUp || givenUp <= maxGivenUp) {
 			running = append(running, run.fingerprint)
 		}
+		if now.Sub(run.lostAt) <= quietTime && run.alone {
+			alone = append(alone, run.fingerprint)
+		}
 	}
 	w.lost = nil
 	w.endedAt, w.replaced = now, false
+	if len(alone) > 0 {
+		running = alone
+	}
 	slices.Sort(running)
 	return slices.Compact(running)
 }
--- a/proxy/crashwatch_test.go
+++ b/proxy/crashwatch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -20,6 +21,8 @@
 		what string
 		job  string
 		ms   int
+		// givenUp is set if the node has cut the run.
+		givenUp bool
 		// want are the requests that are found to have run at the end.
 		want []string
 	}
@@ -34,7 +37,7 @@
 		},
 		"given up shortly before": {
 			{what: "send", job: "a"},
-			{what: "lose", job: "a", ms: 50},
+			{what: "lose", job: "a", ms: 50, givenUp: true},
 			{what: "send", job: "b", ms: 60},
 			{what: "lose", job: "b", ms: 100},
 			{what: "end", ms: 101, want: []string{"a", "b"}},
@@ -42,9 +45,16 @@
 		"given up long before": {
 			{what: "send", job: "a"},
 			{what: "lose", job: "a", ms: 50},
-			{what: "send", job: "b", ms: 500},
-			{what: "lose", job: "b", ms: 600},
-			{what: "end", ms: 601, want: []string{"b"}},
+			{what: "send", job: "b", ms: 1500},
+			{what: "lose", job: "b", ms: 1600},
+			{what: "end", ms: 1601, want: []string{"b"}},
+		},
+		"beside the one that ran alone": {
+			{what: "send", job: "a"},
+			{what: "lose", job: "a", ms: 50, givenUp: true},
+			{what: "send", job: "alone", ms: 400},
+			{what: "lose", job: "alone", ms: 450},
+			{what: "end", ms: 451, want: []string{"alone"}},
 		},
 		"back before it was missed": {
 			{what: "send", job: "a"},
@@ -56,15 +66,15 @@
 		},
 		"silent end": {
 			{what: "send", job: "a"},
-			{what: "lose", job: "a", ms: 1200},
+			{what: "lose", job: "a", ms: 1200, givenUp: true},
 			{what: "replace", ms: 5000, want: []string{"a"}},
 		},
 		"lost answer": {
 			{what: "send", job: "a"},
 			{what: "lose", job: "a", ms: 100},
-			{what: "send", job: "b", ms: 400},
-			{what: "answer", job: "b", ms: 500},
-			{what: "replace", ms: 900},
+			{what: "send", job: "b", ms: 1400},
+			{what: "answer", job: "b", ms: 1500},
+			{what: "replace", ms: 1900},
 		},
 		"planned replacement": {
 			{what: "send", job: "a"},
@@ -104,6 +114,7 @@
 					j = newJob(context.Background(), &wire.Offer{
 						Target: []byte(target),
 					}, cyclam.AttemptID{}, at(s.ms))
+					j.alone = s.job == "alone"
 					jobs[s.job] = j
 					names[j.fingerprint()] = target
 				}
@@ -114,7 +125,7 @@
 				case "send":
 					w.noteSent(j, now)
 				case "lose":
-					w.noteLost(j, now)
+					w.noteLost(j, now, s.givenUp)
 				case "answer":
 					w.noteAnswered(j)
 				case "refuse":
@@ -136,3 +147,27 @@
 		})
 	}
 }
+
+// A burst of callers that leave must not displace the requests that were running when the
+// process ended.
+func TestManyGivenUpBeforeTheEnd(t *testing.T) {
+	now := time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC)
+	w := &crashWatch{}
+	run := func(target string) *job {
+		j := newJob(context.Background(), &wire.Offer{
+			Target: []byte(target),
+		}, cyclam.AttemptID{}, now)
+		now = now.Add(time.Millisecond)
+		w.noteSent(j, now)
+		return j
+	}
+	guilty := run("guilty")
+	for i := range 2 * maxLostRuns {
+		w.noteLost(run(strconv.Itoa(i)), now, true)
+	}
+	w.noteLost(guilty, now, false)
+	got := w.noteEnd(now)
+	if !slices.Contains(got, guilty.fingerprint()) || len(got) != maxGivenUp+1 {
+		t.Errorf("got %d requests, want %d with the one that was running", len(got), maxGivenUp+1)
+	}
+}
--- a/proxy/quarantine.go
+++ b/proxy/quarantine.go
@@ -281,7 +281,7 @@
 // awaitQuiet waits until no run that was given up can end the process any more, so that its
 // end would be put down to the job that runs alone.
 func (n *Node) awaitQuiet(j *job) {
-	if wait := crashDelay - time.Since(n.crashes.lastLost()); wait > 0 {
+	if wait := quietTime - time.Since(n.crashes.lastLost()); wait > 0 {
 		sleep(j.ctx, wait)
 	}
 }
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -216,8 +216,12 @@
 		answered = true
 		n.crashes.noteAnswered(j)
 		n.noteAnswered(j)
-	case n.crashes.noteLost(j, time.Now()) && err != nil && j.ctx.Err() == nil:
-		go n.checkUpstream()
+	default:
+		// An upstream that answers at the deadline has given up the request itself.
+		givenUp := err == nil || j.ctx.Err() != nil
+		if n.crashes.noteLost(j, time.Now(), givenUp) && !givenUp {
+			go n.checkUpstream()
+		}
 	}
 }
 
