Pass on in exchanges only what was lost twice, and blame an alone run that is missed late

Any end of a process leaves up to 34 reports, which every exchange between nodes carried for half an hour: 2.5 KB in each of some 20 messages a second at an inner node, over the 28 KB/s that control may take. What was lost once goes to the open connections once, and into the entry. A suspect that ran alone at a process that was back before it was missed is blamed alone now, also if its successor reports itself later than a quarter of a second after. Both found by reading; tests: TestRepeated, TestRequestsAtTheEndOfAProcess.

--- a/poison/table.go
+++ b/poison/table.go
@@ -297,6 +297,13 @@
 	return reports
 }
 
+// Repeated returns the reports of all instances on requests that have been suspects, at most
+// limit. What was lost once, with any process that has ended, is not among them.
+func (t Table) Repeated(limit int) []Report {
+	reports := slices.DeleteFunc(t.All(math.MaxInt), func(r Report) bool { return t.records[r.Fingerprint].total < suspectCrashes })
+	return reports[:min(limit, len(reports))]
+}
+
 // All returns the reports of all instances on the requests that matter most, at most limit.
 func (t Table) All(limit int) []Report {
 	var reports []Report
--- a/poison/table_test.go
+++ b/poison/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -182,6 +183,26 @@
 	}
 }
 
+// Processes end for many reasons, so that what was lost once is not passed on all the time.
+func TestRepeated(t *testing.T) {
+	once, twice, cleared := fingerprint("/once"), fingerprint("/twice"), fingerprint("/cleared")
+	var table Table
+	table = table.WithCrash(epoch, "a", []Fingerprint{once, twice, cleared})
+	table = table.WithCrash(epoch, "b", []Fingerprint{twice, cleared})
+	table, _ = table.WithAnswer(epoch, "c", cleared)
+	got := map[Fingerprint]int{}
+	for _, r := range table.Repeated(9) {
+		got[r.Fingerprint]++
+	}
+	want := map[Fingerprint]int{
+		twice:   2,
+		cleared: 3,
+	}
+	if !maps.Equal(got, want) {
+		t.Errorf("reports by request: got %v, want %v", got, want)
+	}
+}
+
 // Reports are stored as text, which may come from elsewhere.
 func TestReportsText(t *testing.T) {
 	var table Table
--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -185,6 +185,9 @@
 			}
 		}
 	}
+	if last := len(w.lost) - 1; len(running) == 0 && last >= 0 && w.lost[last].alone {
+		alone = append(alone, w.lost[last].fingerprint)
+	}
 	givenUp := 0
 	for _, run := range slices.Backward(w.lost) {
 		if run.givenUp {
@@ -193,9 +196,6 @@
 		if now.Sub(run.lostAt) <= within && (!run.givenUp || givenUp <= maxGivenUp) {
 			running = append(running, run.fingerprint)
 		}
-		if now.Sub(run.lostAt) <= quietTime && run.alone {
-			alone = append(alone, run.fingerprint)
-		}
 	}
 	w.lost = nil
 	w.endedAt, w.replaced = now, false
--- a/proxy/crashwatch_test.go
+++ b/proxy/crashwatch_test.go
@@ -56,6 +56,13 @@
 			{what: "lose", job: "alone", ms: 450},
 			{what: "end", ms: 451, want: []string{"alone"}},
 		},
+		"alone and back before it was missed": {
+			{what: "send", job: "a"},
+			{what: "lose", job: "a", ms: 50, givenUp: true},
+			{what: "send", job: "alone", ms: 400},
+			{what: "lose", job: "alone", ms: 450},
+			{what: "replace", ms: 2000, want: []string{"alone"}},
+		},
 		"back before it was missed": {
 			{what: "send", job: "a"},
 			{what: "send", job: "b"},
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -30,7 +30,7 @@
 	}
 	k.StoreEra, _ = n.storeEras.Current()
 	k.Loads = n.gossipLoads()
-	k.Crashes = n.quarantine.current().sent
+	k.Crashes = n.quarantine.current().repeated
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	k.Notice = n.fleet.noticeFor(receiver, time.Now())
--- a/proxy/quarantine.go
+++ b/proxy/quarantine.go
@@ -32,10 +32,10 @@
 type knownCrashes struct {
 	poison.Table
 
-	// stored holds this instance's reports for its entry, sent those of all instances for
-	// other nodes.
-	stored string
-	sent   []*wire.CrashReport
+	// stored holds this instance's reports for its entry, repeated those of all instances on
+	// requests that have been suspects, for exchanges with other nodes.
+	stored   string
+	repeated []*wire.CrashReport
 }
 
 const (
@@ -73,9 +73,9 @@
 		return
 	}
 	q.known.Store(&knownCrashes{
-		Table:  next,
-		stored: poison.FormatReports(next.Own(self, maxStoredReports)),
-		sent:   encodeReports(next.All(maxSentReports)),
+		Table:    next,
+		stored:   poison.FormatReports(next.Own(self, maxStoredReports)),
+		repeated: encodeReports(next.Repeated(maxSentReports)),
 	})
 }
 
@@ -89,7 +89,7 @@
 }
 
 // noteCrash records that the upstream's process has ended while it ran these requests, and
-// tells the other nodes if some of them are not to be treated like others any more.
+// tells the other nodes.
 func (n *Node) noteCrash(running []poison.Fingerprint, sign string) {
 	if len(running) == 0 {
 		return
@@ -101,9 +101,8 @@
 		return t.WithCrash(now, n.self.Instance, running), true
 	})
 	n.requestEntryWrite()
-	if n.logVerdicts(now, running) {
-		n.spreadReports()
-	}
+	n.logVerdicts(now, running)
+	n.spreadReports()
 }
 
 // noteAnswered records that the upstream has answered a job's request.
@@ -148,22 +147,17 @@
 	n.learnReports(reports)
 }
 
-// logVerdicts logs the requests that are not to be treated like others, and reports whether
-// there are any.
-func (n *Node) logVerdicts(now time.Time, requests []poison.Fingerprint) bool {
+// logVerdicts logs the requests that are not to be treated like others.
+func (n *Node) logVerdicts(now time.Time, requests []poison.Fingerprint) {
 	known := n.quarantine.current()
-	restricted := false
 	for _, f := range requests {
-		v := known.Verdict(now, f)
-		restricted = restricted || v.Level != poison.Allowed
-		switch v.Level {
+		switch v := known.Verdict(now, f); v.Level {
 		case poison.Banned:
 			n.Log.Warn("request-banned", "request", f, "for", v.Remaining)
 		case poison.Suspected:
 			n.Log.Warn("request-suspected", "request", f)
 		}
 	}
-	return restricted
 }
 
 // expireReports forgets requests that have ended nothing for long.
@@ -181,7 +175,7 @@
 		Version:      uint64(newest.version),
 		ConfigDigest: newest.digest,
 		ConfigEra:    newest.era,
-		Crashes:      n.quarantine.current().sent,
+		Crashes:      encodeReports(n.quarantine.current().All(maxSentReports)),
 	}
 	n.linkMu.Lock()
 	defer n.linkMu.Unlock()
