Keep a leave that came before the upstream was known

The node had restarted 25 ms before the leave and did not know its upstream; the leave named no start time. A status sent earlier arrived 2.3 s later, began the process anew, and was not taken for that of the process that had left, because the start times differed: one was missing.

A leave without a start time now holds for a process that had started by then, by the clock of the machine that both share, and counts from the moment at which it was told.

--- a/proxy/upstream.go
+++ b/proxy/upstream.go
@@ -18,9 +18,11 @@
 	// health check only.
 	startedAt time.Time
 	sequence  uint64
-	// withdrawnID and withdrawnStart identify the process that was withdrawn last.
+	// withdrawnID and withdrawnStart identify the process that was withdrawn last;
+	// withdrawnAt is when it told this node, zero if an earlier process of it was told.
 	withdrawnID    string
 	withdrawnStart time.Time
+	withdrawnAt    time.Time
 	// leaving is set once the process has reported in any way that it is about to stop;
 	// leavingSince is when this was first known to the nodes.
 	leaving      bool
@@ -57,7 +59,7 @@
 		return nil
 	}
 	newProcess := known.id != status.ID || !known.startedAt.IsZero() && !known.startedAt.Equal(status.StartedAt)
-	withdrawn := known.withdrawnID == status.ID && known.withdrawnStart.Equal(status.StartedAt)
+	withdrawn := known.isWithdrawn(status)
 	n.upstream.id, n.upstream.lastID = status.ID, status.ID
 	n.upstream.startedAt, n.upstream.sequence = status.StartedAt, status.Sequence
 	if newProcess {
@@ -68,7 +70,9 @@
 	} else {
 		n.scheduler = n.scheduler.WithDown(false).WithSlots(status.Slots)
 	}
-	if status.Leaving || withdrawn {
+	if withdrawn && !known.withdrawnAt.IsZero() {
+		n.markLeaving(known.withdrawnAt)
+	} else if status.Leaving || withdrawn {
 		n.markLeaving(now)
 	}
 	n.applyNotices(now)
@@ -120,7 +124,7 @@
 			n.upstream.startedAt = startedAt
 		}
 		n.markLeaving(now)
-		n.upstream.withdrawnID, n.upstream.withdrawnStart = id, startedAt
+		n.upstream.withdrawnID, n.upstream.withdrawnStart, n.upstream.withdrawnAt = id, startedAt, now
 	}
 	n.schedMu.Unlock()
 	n.Log.Info("upstream-leaves", "upstream", id, "current", current)
@@ -277,12 +281,26 @@
 func (n *Node) restoreWithdrawal(id string, startedAt time.Time) {
 	n.schedMu.Lock()
 	defer n.schedMu.Unlock()
-	n.upstream.withdrawnID, n.upstream.withdrawnStart = id, startedAt
+	n.upstream.withdrawnID, n.upstream.withdrawnStart, n.upstream.withdrawnAt = id, startedAt, time.Time{}
 	if n.upstream.isProcess(id, startedAt) {
 		n.markLeaving(time.Now())
 	}
 }
 
+// isWithdrawn reports whether a status is of the process that was withdrawn last. If that did
+// not say when it started, a status tells by whether its process ran already then: both clocks
+// are those of one machine.
+func (u *upstreamState) isWithdrawn(status cyclam.UpstreamStatus) bool {
+	switch {
+	case u.withdrawnID != status.ID:
+		return false
+	case u.withdrawnStart.IsZero() && !status.StartedAt.IsZero():
+		return !status.StartedAt.After(u.withdrawnAt)
+	default:
+		return u.withdrawnStart.Equal(status.StartedAt)
+	}
+}
+
 // isProcess reports whether the known process has this id and start time. One without a
 // start time is told apart by its id alone.
 func (u *upstreamState) isProcess(id string, startedAt time.Time) bool {
