--- a/review/drive/backend.go
+++ b/review/drive/backend.go
@@ -77,6 +77,8 @@
 	mu       sync.Mutex
 	sequence uint64
 	running  int
+	// begun holds when the running requests began.
+	begun    map[*http.Request]time.Time
 	waiting  int
 	draining bool
 	quiet    bool
@@ -97,6 +99,7 @@
 		ledger:  l,
 		born:    born,
 		slot:    make(chan struct{}, slots),
+		begun:   map[*http.Request]time.Time{},
 	}
 	b.ctx, b.end = context.WithCancel(context.Background())
 	b.server = &http.Server{
@@ -145,11 +148,11 @@
 		header.Set(headerInstance, b.id)
 		header.Set(headerNotRun, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
-	case !b.take(r.Context()):
+	case !b.take(r):
 		header.Set(headerNotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	default:
-		defer b.free()
+		defer b.free(r)
 		b.run(w, r, arrival{
 			at:      arrived,
 			attempt: attempt,
@@ -178,7 +181,7 @@
 }
 
 // take waits for a slot; as many requests as there are slots may wait.
-func (b *backend) take(ctx context.Context) bool {
+func (b *backend) take(r *http.Request) bool {
 	b.mu.Lock()
 	if b.waiting >= 4*b.slots {
 		b.mu.Unlock()
@@ -190,22 +193,36 @@
 	select {
 	case b.slot <- struct{}{}:
 		taken = true
-	case <-ctx.Done():
+	case <-r.Context().Done():
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.waiting--
 	if taken {
 		b.running++
+		b.begun[r] = time.Now()
 	}
 	return taken
 }
 
-func (b *backend) free() {
+// runsOnFor reports whether requests run, none of which ends within a time.
+func (b *backend) runsOnFor(span time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, at := range b.begun {
+		if time.Since(at) >= b.work-span {
+			return false
+		}
+	}
+	return b.running > 0
+}
+
+func (b *backend) free(r *http.Request) {
 	<-b.slot
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.running--
+	delete(b.begun, r)
 }
 
 func (b *backend) load() string {
--- a/review/drive/small.go
+++ b/review/drive/small.go
@@ -76,6 +76,26 @@
 	quit     chan struct{}
 }
 
+// firstRoutes are the routes of the first configuration.
+func firstRoutes() []route {
+	return []route{
+		{
+			name:    "lookup",
+			prefix:  lookupPrefix,
+			kind:    "idempotent",
+			service: lookupService,
+			timeout: "1200ms",
+		},
+		{
+			name:    "booking",
+			prefix:  bookingPrefix,
+			kind:    "non_idempotent",
+			service: bookingService,
+			timeout: "1500ms",
+		},
+	}
+}
+
 // newSmall starts a backend and a node on each machine.
 func newSmall(w *world, layout []place) (*small, error) {
 	d := &small{
@@ -91,22 +111,7 @@
 			return nil, err
 		}
 	}
-	w.writeConfig(0x0c, []string{lookupService, bookingService}, []route{
-		{
-			name:    "lookup",
-			prefix:  lookupPrefix,
-			kind:    "idempotent",
-			service: lookupService,
-			timeout: "1200ms",
-		},
-		{
-			name:    "booking",
-			prefix:  bookingPrefix,
-			kind:    "non_idempotent",
-			service: bookingService,
-			timeout: "1500ms",
-		},
-	})
+	w.writeConfig(0x0c, []string{lookupService, bookingService, certService}, firstRoutes())
 	d.backends = make([]*backend, len(layout))
 	var present []*machine
 	for i, at := range layout {
