--- a/review/drive/world.go
+++ b/review/drive/world.go
@@ -34,14 +34,13 @@
 
 // Times of the platform, as the small deployments have them.
 const (
-	drainTime        = 2 * time.Second
-	graceTime        = 6 * time.Second
-	heartbeat        = 1500 * time.Millisecond
-	stableWindow     = 3 * time.Second
-	readyInterval    = time.Second
-	addrReuse        = 2 * time.Second
-	startLimit       = 10 * time.Second
-	killedAfterGrace = graceTime + 500*time.Millisecond
+	drainTime     = 2 * time.Second
+	graceTime     = 6 * time.Second
+	heartbeat     = 1500 * time.Millisecond
+	stableWindow  = 3 * time.Second
+	readyInterval = time.Second
+	addrReuse     = 2 * time.Second
+	startLimit    = 10 * time.Second
 )
 
 // world is one deployment with its record.
@@ -338,29 +337,6 @@
 	m.calmSince = time.Now()
 }
 
-// terminate sends SIGTERM, and SIGKILL after the grace, and waits for the end.
-func (m *machine) terminate() {
-	m.mu.Lock()
-	exited := m.exited
-	m.mu.Unlock()
-	m.signal(syscall.SIGTERM)
-	select {
-	case <-exited:
-	case <-time.After(killedAfterGrace):
-		m.signal(syscall.SIGKILL)
-		<-exited
-	}
-}
-
-// kill ends the node at once and waits for its end.
-func (m *machine) kill() {
-	m.mu.Lock()
-	exited := m.exited
-	m.mu.Unlock()
-	m.signal(syscall.SIGKILL)
-	<-exited
-}
-
 // isReady reports what the last readiness checks have shown.
 func (m *machine) isReady() bool {
 	m.mu.Lock()
