--- a/review/drive/client.go
+++ b/review/drive/client.go
@@ -22,6 +22,9 @@
 	signature string
 	body      string
 	err       error
+	// kept is set if the connection had served a request before, closes if the answer ends it.
+	kept   bool
+	closes bool
 }
 
 // clients send requests at the machines and keep what they get.
--- a/review/drive/main.go
+++ b/review/drive/main.go
@@ -27,6 +27,7 @@
 	"reused-address":   reusedAddress,
 	"forgotten-leave":  forgottenLeave,
 	"stepped-back":     steppedBack,
+	"large-requests":   largeRequests,
 	"returned-backend": returnedBackend,
 }
 
--- a/review/drive/world.go
+++ b/review/drive/world.go
@@ -201,6 +201,8 @@
 	ready   bool
 	// calmSince is when the last disruption of the machine ended.
 	calmSince time.Time
+	// ownEnds counts the processes that were killed for their memory.
+	ownEnds int
 }
 
 // zones are those of the platform with their regions.
@@ -438,7 +440,7 @@
 		"services": known,
 		"limits": map[string]any{
 			"max_header_bytes": 16384,
-			"max_body_bytes":   1 << 20,
+			"max_body_bytes":   64 << 20,
 			"header_timeout":   "3000ms",
 			"idle_timeout":     "15s",
 		},
