proxy: the time of a leave does not move with each node that passes it on

Callers saw an upstream that had reported its leaving take no more work long before its drain time was over.

A load that another node passes on was reported a while before the message. Its notice is encoded as of the message and was decoded as of the load, which moved the leave back by the load's age each time; the node beside the upstream gets it back and keeps the earliest time.

The time in a notice now counts from the message. TestPassedOnLeaveDoesNotAge failed before (600 ms before the leave) and passes.

--- a/proxy/load.go
+++ b/proxy/load.go
@@ -129,7 +129,8 @@
 			if m.view.Load.Leaving {
 				m.settleFinished()
 			}
-			n.fleet.updateNotice(cyclam.InstanceName(r.GetInstance()), r.GetLoad(), at)
+			// The time in a notice counts from the message, not from the load.
+			n.fleet.updateNotice(cyclam.InstanceName(r.GetInstance()), r.GetLoad(), now)
 		}
 	}
 }
--- a/proxy/notice.go
+++ b/proxy/notice.go
@@ -71,7 +71,7 @@
 	return w
 }
 
-// decodeNotice returns the notice in a message that was sent at a time.
+// decodeNotice returns the notice in a message that was received at a time.
 func decodeNotice(w *wire.UpstreamNotice, at time.Time) notice {
 	t := notice{
 		upstream:   string(w.GetUpstream()),
@@ -89,7 +89,7 @@
 	return t
 }
 
-// updateNotice applies the notice in a node's load, which was reported at a time. A load
+// updateNotice applies the notice in a node's load, which was received at a time. A load
 // without a notice ends a limit if the node knows that there is none; it does not end a
 // leave.
 func (f *fleet) updateNotice(name cyclam.InstanceName, l *wire.Load, at time.Time) {
