--- a/proxy/answerreport.go
+++ b/proxy/answerreport.go
@@ -5,6 +5,7 @@
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/procs"
 	"github.com/cyclamensaddle/cyclam/sched"
 )
 
@@ -19,31 +20,15 @@
 	loggedLimit cyclam.RateLimit
 }
 
-// beginProcess resets what belongs to one upstream process.
-func (u *upstreamState) beginProcess() {
-	u.process++
-	u.leaving, u.leavingSince = false, time.Time{}
-	u.reported = answerReport{
-		loggedLimit: u.reported.loggedLimit,
-	}
-}
-
-// upstreamProcess returns the id of the upstream process and its number on this node.
-func (n *Node) upstreamProcess() (string, uint64) {
-	n.schedMu.Lock()
-	defer n.schedMu.Unlock()
-	return n.upstream.id, n.upstream.process
-}
-
 // observeAnswer applies what an answer to a request says of the upstream process to which
 // the request was sent. An answer with 421 comes from another one.
-func (n *Node) observeAnswer(process uint64, meta cyclam.AnswerMeta) {
+func (n *Node) observeAnswer(from addressee, meta cyclam.AnswerMeta) {
 	if meta.Misdirected {
 		return
 	}
 	n.schedMu.Lock()
 	defer n.schedMu.Unlock()
-	if n.upstream.process != process {
+	if n.upstream.procs.Count() != from.number {
 		return
 	}
 	now := time.Now()
@@ -78,12 +63,12 @@
 
 // observeLeaving records that the upstream says that it leaves. The caller holds schedMu.
 func (n *Node) observeLeaving(now time.Time, meta cyclam.AnswerMeta) {
-	if !meta.Leaving || n.upstream.leaving {
+	present := n.upstream.procs.Present()
+	if !meta.Leaving || !n.upstream.procs.LeavingSince().IsZero() {
 		return
 	}
-	n.Log.Info("upstream-says-leaving", "upstream", n.upstream.id)
-	n.markLeaving(now)
-	n.requestEntryWrite()
+	n.Log.Info("upstream-says-leaving", "upstream", present.ID)
+	n.changeUpstreamLocked("answer", func(_ time.Time, s procs.State) procs.State { return s.WithLeave(now, present) })
 }
 
 // limitRecheck is the time without an answer after which an upstream with a rate limit is
@@ -124,7 +109,7 @@
 		n.meters.rateLimit.Update(noRateLimitGauge)
 	}
 	n.Log.Info("upstream-rate-limit",
-		"upstream", n.upstream.id,
+		"upstream", n.upstream.procs.Target(),
 		"limit", reported.rateLimit,
 		"before", reported.loggedLimit,
 		"age", now.Sub(reported.limitSince),
--- a/proxy/cluster_test.go
+++ b/proxy/cluster_test.go
@@ -121,17 +121,60 @@
 
 // restart runs a new process of a node that has ended, at the same addresses.
 func (s *testCluster) restart(n *Node) *Node {
-	again := &Node{
+	again := s.again(n)
+	s.run(again)
+	return again
+}
+
+// restartUnreported is restart without a report of the upstream.
+func (s *testCluster) restartUnreported(n *Node) *Node {
+	again := s.again(n)
+	s.runUnreported(again)
+	return again
+}
+
+// again returns a node that has not been started, with the settings of another one.
+func (*testCluster) again(n *Node) *Node {
+	return &Node{
 		Settings: n.Settings,
 		Platform: n.Platform,
 		Dialect:  n.Dialect,
 		Log:      n.Log,
 	}
-	s.run(again)
-	return again
 }
 
+// run runs a node until the test ends, or the returned function is called. The upstream
+// beside it reports itself once, as upstreams do after a start of their node.
 func (s *testCluster) run(n *Node) func() {
+	stop := s.runUnreported(n)
+	go s.report(n)
+	return stop
+}
+
+// report lets the upstream beside a node report itself with the id that it has now.
+func (s *testCluster) report(n *Node) {
+	resp, err := http.Get("http://" + n.Settings.Upstream + "/health")
+	if err != nil {
+		return
+	}
+	_ = resp.Body.Close()
+	for deadline := time.Now().Add(5 * time.Second); !n.prepared.Load() && time.Now().Before(deadline); {
+		<-time.After(time.Millisecond)
+	}
+	if err := n.Announce(cyclam.UpstreamStatus{
+		ID:        testDialect{}.ParseInstance(resp.Header),
+		StartedAt: firstStart,
+		Service:   n.Settings.Self.Service,
+		Address:   n.Settings.Upstream,
+	}); err != nil {
+		s.t.Errorf("node %s: report of its upstream: %v", n.Settings.Self.Instance, err)
+	}
+}
+
+// firstStart is when the upstreams of a cluster start, by their clock.
+var firstStart = time.UnixMilli(1)
+
+func (s *testCluster) runUnreported(n *Node) func() {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/proxy/drain_test.go
+++ b/proxy/drain_test.go
@@ -37,7 +37,7 @@
 	backend := s.start("door", u, nil)
 	s.awaitReady(backend)
 	s.waitFor("the upstream is known", func() bool { return backend.upstreamID() == "u1" })
-	if err := backend.Withdraw("u1", time.Time{}); err != nil {
+	if err := backend.Withdraw("u1", firstStart); err != nil {
 		t.Fatal(err)
 	}
 	s.waitFor("the store holds the withdrawal", func() bool {
@@ -73,6 +73,7 @@
 	if got := u.runs.Load(); got != 0 {
 		t.Errorf("runs at another upstream: got %d, want 0", got)
 	}
+	s.report(backend)
 	s.waitFor("the new upstream is known", func() bool { return backend.upstreamID() == "u2" })
 	s.want(backend, http.MethodPost, "/book/x", http.StatusOK)
 }
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -8,6 +8,7 @@
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/procs"
 	"github.com/pkg/errors"
 )
 
@@ -22,11 +23,12 @@
 	Slots       uint32 `json:"slots"`
 	// Upstream is the id of the upstream process beside the node; Leaving is set once
 	// that process has been withdrawn. StartedMs is its start by its own clock, in
-	// milliseconds since the Unix epoch; zero if it is not known or the process does not
-	// leave. A restarting node reads these.
+	// milliseconds since the Unix epoch; zero if it is not known. Left holds the processes
+	// that have said that they leave, in the form of formatLeft. A restarting node reads these.
 	Upstream  string `json:"upstream"`
 	Leaving   bool   `json:"leaving"`
 	StartedMs int64  `json:"started-ms,omitempty"`
+	Left      string `json:"left,omitempty"`
 	// Sequence orders the entries of one incarnation; zero if an older build wrote it.
 	Sequence uint64 `json:"sequence,omitempty"`
 	// Crashes is what the instance has seen of requests that were lost with processes of its
@@ -92,6 +94,27 @@
 	// eraSince is the time of that list.
 	newEra   uint64
 	eraSince time.Time
+	// changed is closed and replaced when stored changes.
+	changed chan struct{}
+}
+
+// set records what is stored at a position. The caller holds mu.
+func (o *ownEntry) set(at cyclam.Position, stored entry) {
+	o.at, o.stored = at, stored
+	if o.changed != nil {
+		close(o.changed)
+		o.changed = nil
+	}
+}
+
+// current returns the stored entry, and a channel that is closed when it changes.
+func (o *ownEntry) current() (entry, <-chan struct{}) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.changed == nil {
+		o.changed = make(chan struct{})
+	}
+	return o.stored, o.changed
 }
 
 // endpoint returns the current endpoint of this node and its stored form.
@@ -105,17 +128,14 @@
 	}
 	n.schedMu.Unlock()
 	switch {
-	case n.closedToPeers(time.Now()), up.leaving:
+	case n.closedToPeers(time.Now()), !up.procs.LeavingSince().IsZero():
 		e.State = cyclam.EndpointLeaving
 	case known:
 		e.State = cyclam.EndpointReady
 	default:
 		e.State = cyclam.EndpointDown
 	}
-	startedMs := int64(0)
-	if up.leaving && !up.startedAt.IsZero() {
-		startedMs = up.startedAt.UnixMilli()
-	}
+	present := up.procs.Named()
 	announced := n.entry.announce(entry{
 		Incarnation: uint64(e.Incarnation),
 		State:       e.State.String(),
@@ -124,9 +144,10 @@
 		DataCentre:  string(e.Locality.DataCentre),
 		Control:     e.Control,
 		Slots:       e.Slots,
-		Upstream:    up.id,
-		Leaving:     up.leaving,
-		StartedMs:   startedMs,
+		Upstream:    present.ID,
+		Leaving:     !up.procs.LeavingSince().IsZero(),
+		StartedMs:   startedMs(present),
+		Left:        formatLeft(up.procs.Left()),
 		Crashes:     n.quarantine.current().stored,
 	})
 	e.Sequence = announced.Sequence
@@ -177,9 +198,10 @@
 		n.entry.newEra, n.entry.eraSince = at.Era, time.Now()
 	}
 	if !listed[n.self.Instance] && !at.Before(n.entry.at) {
-		n.entry.at, n.entry.stored = cyclam.Position{}, entry{}
+		n.entry.set(cyclam.Position{}, entry{})
 	}
 	n.entry.mu.Unlock()
+	n.endRecall()
 	n.requestEntryWrite()
 }
 
@@ -195,26 +217,62 @@
 	n.entry.mu.Lock()
 	first := n.entry.at.IsZero()
 	if !e.Object.Position.Before(n.entry.at) {
-		n.entry.stored, n.entry.at = stored, e.Object.Position
+		at := e.Object.Position
 		if e.Deleted {
-			n.entry.at = cyclam.Position{}
+			at = cyclam.Position{}
 		}
+		n.entry.set(at, stored)
 	}
 	n.entry.mu.Unlock()
-	if first && stored.Leaving && stored.Incarnation != uint64(n.self.Incarnation) {
-		var startedAt time.Time
-		if stored.StartedMs != 0 {
-			startedAt = time.UnixMilli(stored.StartedMs)
-		}
-		n.restoreWithdrawal(stored.Upstream, startedAt)
+	if first && !e.Deleted && stored.Incarnation != uint64(n.self.Incarnation) {
+		n.recall(stored)
 	}
 	n.requestEntryWrite()
 }
 
+// recall applies what an earlier process of this node has stored of the upstream. Its drain
+// time counts as over, as it is not known when a leave was announced.
+func (n *Node) recall(stored entry) {
+	left, err := parseLeft(stored.Left)
+	if err != nil {
+		n.Log.Warn("own-entry-unreadable", "error", err)
+	}
+	present := processOf(stored.Upstream, stored.StartedMs)
+	if stored.Leaving {
+		left = append(left, present)
+	}
+	n.schedMu.Lock()
+	n.scheduler = n.scheduler.WithSlots(int(stored.Slots))
+	n.schedMu.Unlock()
+	n.changeUpstream("entry", func(now time.Time, s procs.State) procs.State {
+		for _, p := range left {
+			s = s.WithNotice(now, p, n.startTime.Add(-n.Settings.Drain))
+		}
+		if stored.Leaving {
+			return s.WithoutStored()
+		}
+		return s.WithStored(present)
+	})
+	n.requestSettle()
+}
+
+// endRecall records that nothing is stored of the upstream, or that it can't be read now.
+func (n *Node) endRecall() {
+	n.changeUpstream("entry", func(_ time.Time, s procs.State) procs.State { return s.WithoutStored() })
+	n.requestSettle()
+}
+
 // entryWriteDelay leaves time to identify the upstream before the first write, so that
 // a start takes only one write.
 const entryWriteDelay = 2 * time.Second
 
+// awaitsUpstream reports whether no upstream process is known yet, nor a leave of one.
+func (n *Node) awaitsUpstream() bool {
+	n.schedMu.Lock()
+	defer n.schedMu.Unlock()
+	return n.upstream.procs.Target() == "" && len(n.upstream.procs.Left()) == 0
+}
+
 // runEntryWriter writes this node's entry whenever it differs from the stored one,
 // until ctx ends.
 func (n *Node) runEntryWriter(ctx context.Context) error {
@@ -226,7 +284,7 @@
 			return nil
 		case <-n.wakeEntry:
 		}
-		if remaining := entryWriteDelay - time.Since(began); remaining > 0 && n.upstreamID() == "" {
+		if remaining := entryWriteDelay - time.Since(began); remaining > 0 && n.awaitsUpstream() {
 			time.AfterFunc(remaining, n.requestEntryWrite)
 			continue
 		}
@@ -273,7 +331,7 @@
 	}
 	n.entry.mu.Lock()
 	if n.entry.at.Before(put.Position) {
-		n.entry.at, n.entry.stored = put.Position, want
+		n.entry.set(put.Position, want)
 	}
 	n.entry.mu.Unlock()
 	n.Log.Info("entry-written", "state", want.State, "era", put.Era, "revision", put.Revision)
@@ -342,7 +400,7 @@
 	defer n.entry.mu.Unlock()
 	switch {
 	case errors.Is(err, cyclam.ErrNotFound):
-		n.entry.at, n.entry.stored = cyclam.Position{}, entry{}
+		n.entry.set(cyclam.Position{}, entry{})
 	case err != nil:
 		n.Log.Warn("own-entry-unread", "error", err)
 	default:
@@ -351,7 +409,7 @@
 			n.Log.Warn("own-entry-unreadable", "error", err)
 		}
 		if n.entry.at.Before(object.Position) {
-			n.entry.at, n.entry.stored = object.Position, stored
+			n.entry.set(object.Position, stored)
 		}
 	}
 }
--- a/proxy/fuzz_test.go
+++ b/proxy/fuzz_test.go
@@ -34,7 +34,7 @@
 	n := s.node("door", nil, nil)
 	n.Settings.Self.Service = "stock"
 	n.prepare()
-	n.upstream.id = "u1"
+	n.admitUpstream("u1")
 	n.scheduler = sched.New(sched.Tuning{
 		Slots: 2,
 	}).WithUpstream(2)
--- /dev/null
+++ b/proxy/health.go
@@ -0,0 +1,172 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/procs"
+	"github.com/pkg/errors"
+)
+
+const (
+	// probeTimeout bounds one health check.
+	probeTimeout = 700 * time.Millisecond
+	// reportTimeout bounds the health check that decides whether a report is believed. The
+	// report is to be acknowledged within a second.
+	reportTimeout = 500 * time.Millisecond
+	// healthAnswerLimit bounds the head and the body of its answer each, in bytes.
+	healthAnswerLimit = 64 << 10
+	// settleInterval is the pause between health checks while it is not clear which process
+	// is at the upstream's address.
+	settleInterval = 400 * time.Millisecond
+	// configPoll is the pause while there is no configuration, which holds the health
+	// check's path.
+	configPoll = 20 * time.Millisecond
+	// settleTries is the most health checks that one event causes; the upstream's next report
+	// causes another one.
+	settleTries = 6
+)
+
+// requestSettle wakes settleUpstream.
+func (n *Node) requestSettle() {
+	select {
+	case n.wakeSettle <- struct{}{}:
+	default:
+	}
+}
+
+// settleUpstream asks the upstream for its health while that is to decide which process is at
+// its address, until ctx ends. A node that has been restarted beside its upstream can serve
+// before the upstream's next report.
+func (n *Node) settleUpstream(ctx context.Context) error {
+	for tries := 0; ; {
+		wait := time.Duration(0)
+		path, known := n.healthPath()
+		switch asks, awaitsRecall := n.asksUpstream(time.Now()); {
+		case !asks || tries >= settleTries || known && path == "":
+		case !known || awaitsRecall:
+			wait = configPoll
+		default:
+			n.probe(ctx)
+			tries++
+			wait = settleInterval
+		}
+		var pause <-chan time.Time
+		if wait > 0 {
+			pause = time.After(wait)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-n.wakeSettle:
+			tries = 0
+		case <-pause:
+		}
+	}
+}
+
+// settleReport decides by a health check whether a report of the process with an id, which has
+// just been received, is believed, if that is not clear. Without a health check it is.
+func (n *Node) settleReport(id string) {
+	asks, awaitsRecall := n.asksUpstream(time.Now())
+	if !asks {
+		return
+	}
+	switch path, known := n.healthPath(); {
+	case !known || awaitsRecall:
+		n.requestSettle()
+	case path == "":
+		n.changeUpstream("report", func(now time.Time, s procs.State) procs.State {
+			round, _ := s.Asks()
+			return s.WithHealth(now, round, id, true)
+		})
+	default:
+		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+		defer cancel()
+		n.probe(ctx)
+	}
+}
+
+// asksUpstream reports whether a health check is to decide which process is at the upstream's
+// address, and whether what is stored has to be read before.
+func (n *Node) asksUpstream(now time.Time) (asks, awaitsRecall bool) {
+	n.schedMu.Lock()
+	defer n.schedMu.Unlock()
+	_, asks = n.upstream.procs.Asks()
+	return asks, n.upstream.procs.AwaitsRecall(now)
+}
+
+// healthPath returns the path of the upstream's health check, empty if it has none; false
+// means that there is no configuration yet.
+func (n *Node) healthPath() (string, bool) {
+	t := n.current.Load()
+	if t == nil {
+		return "", false
+	}
+	service, _ := t.Service(n.Settings.Self.Service)
+	return service.HealthPath, true
+}
+
+// probe runs one health check.
+func (n *Node) probe(ctx context.Context) {
+	path, _ := n.healthPath()
+	if path == "" {
+		return
+	}
+	n.schedMu.Lock()
+	round, _ := n.upstream.procs.Asks()
+	n.schedMu.Unlock()
+	h, err := n.checkHealth(ctx, path)
+	n.Log.Info("upstream-probed", "upstream", h.id, "healthy", h.healthy, "error", err)
+	if err != nil {
+		return
+	}
+	n.changeUpstream("health check", func(now time.Time, s procs.State) procs.State {
+		return s.WithHealth(now, round, h.id, h.healthy)
+	})
+	n.schedMu.Lock()
+	defer n.schedMu.Unlock()
+	if h.id != "" && n.upstream.procs.Target() == h.id {
+		n.observeHealth(time.Now(), h.meta)
+	}
+}
+
+// health is the result of a health check: the upstream's id, whether it is healthy, and
+// what its answer says of it.
+type health struct {
+	id      string
+	healthy bool
+	meta    cyclam.AnswerMeta
+}
+
+// checkHealth requests path from the upstream.
+func (n *Node) checkHealth(ctx context.Context, path string) (health, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	transport := &http.Transport{
+		DialContext:            func(ctx context.Context, _, address string) (net.Conn, error) { return n.Dial(ctx, address) },
+		DisableKeepAlives:      true,
+		MaxResponseHeaderBytes: healthAnswerLimit,
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.Settings.Upstream+path, nil)
+	if err != nil {
+		return health{}, errors.Wrap(err, "create health check request")
+	}
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return health{}, cyclam.AtStep("health check", n.Settings.Upstream, err)
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, healthAnswerLimit)); err != nil {
+		return health{}, cyclam.AtStep("health check", n.Settings.Upstream, err)
+	}
+	return health{
+		id:      n.Dialect.ParseInstance(resp.Header),
+		healthy: resp.StatusCode == http.StatusOK,
+		meta:    n.Dialect.ParseAnswer(resp.StatusCode, resp.Header),
+	}, nil
+}
--- a/proxy/idle_test.go
+++ b/proxy/idle_test.go
@@ -66,8 +66,7 @@
 	u := newUpstream(t, "u1")
 	i := startIdleTest(t, newTestCluster(t).node("door", u, nil), limit)
 	i.app = u
-	i.upstream.id = u.id
-	i.scheduler = i.scheduler.WithUpstream(2)
+	i.admitUpstream(u.id)
 	return i
 }
 
--- a/proxy/lateleave_test.go
+++ b/proxy/lateleave_test.go
@@ -60,7 +60,7 @@
 				t.Errorf("leaving: got %v, want %v", got, c.leaving)
 			}
 			n.schedMu.Lock()
-			since := n.upstream.leavingSince
+			since := n.upstream.procs.LeavingSince()
 			n.schedMu.Unlock()
 			if c.leaving && (since.Before(left) || since.After(known)) {
 				t.Errorf("leaving since %v after the leave, want from it on", since.Sub(left))
--- a/proxy/leaving_test.go
+++ b/proxy/leaving_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/procs"
 	"github.com/cyclamensaddle/cyclam/stand/tally"
 )
 
@@ -65,7 +66,7 @@
 		if err == nil && status == http.StatusOK {
 			t.Error("got a request answered by an upstream that leaves, want none")
 		}
-		return restarted.upstreamID() == "u1"
+		return restarted.Status().Upstream.ID == "u1"
 	})
 	for range 5 {
 		s.want(front, http.MethodPost, "/book/x", http.StatusServiceUnavailable)
@@ -171,7 +172,7 @@
 		leavingSince: now.Add(-backend.Settings.Drain),
 	}
 	backend.schedMu.Lock()
-	backend.markLeaving(now)
+	backend.changeUpstreamLocked("test", func(_ time.Time, s procs.State) procs.State { return s.WithLeave(now, s.Present()) })
 	backend.acceptNotice(notified.encode(now), now)
 	backend.schedMu.Unlock()
 	s.want(backend, http.MethodPost, "/book/x", http.StatusServiceUnavailable)
--- a/proxy/network_test.go
+++ b/proxy/network_test.go
@@ -31,6 +31,8 @@
 	leaving atomic.Bool
 	// plainHealth keeps both out of the answers to health checks.
 	plainHealth atomic.Bool
+	// unhealthy makes health checks fail, as an upstream does that leaves.
+	unhealthy atomic.Bool
 	// runs, ended and cancelled count the requests that started, returned, and returned
 	// after their connection closed.
 	runs      atomic.Int64
@@ -49,6 +51,10 @@
 
 func (u *upstream) serve(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("X-Instance", u.id)
+	if r.URL.Path == "/health" && u.unhealthy.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if r.URL.Path == "/health" && u.plainHealth.Load() {
 		return
 	}
--- a/proxy/node.go
+++ b/proxy/node.go
@@ -15,6 +15,7 @@
 	"github.com/cyclamensaddle/cyclam/origin"
 	"github.com/cyclamensaddle/cyclam/pace"
 	"github.com/cyclamensaddle/cyclam/picker"
+	"github.com/cyclamensaddle/cyclam/procs"
 	"github.com/cyclamensaddle/cyclam/router"
 	"github.com/cyclamensaddle/cyclam/sched"
 	"github.com/hashicorp/go-hclog"
@@ -99,6 +100,9 @@
 	storeEras eras.Tracker
 	entry     ownEntry
 	wakeEntry chan struct{}
+	// wakeSettle is signalled when a health check is to decide which process is at the
+	// upstream's address.
+	wakeSettle chan struct{}
 }
 
 // failureCost is the latency that a failed answer counts for when picking a node;
@@ -138,6 +142,7 @@
 	n.calls, n.endCalls = context.WithCancel(context.Background())
 	n.configHint = make(chan versionHint, 1)
 	n.wakeEntry = make(chan struct{}, 1)
+	n.wakeSettle = make(chan struct{}, 1)
 	n.fleet = newFleet(n.Settings.Self)
 	n.splits = map[string]router.Split{}
 	n.exchangeBytes = map[string]float64{}
@@ -156,6 +161,7 @@
 	n.runningByID = map[string]int{}
 	n.answerBytes = map[string]float64{}
 	n.ownNotices = map[string]notice{}
+	n.upstream.procs = procs.New(n.startTime)
 	n.links = map[string]*link{}
 	n.pacer.state = pace.State{
 		Rate: paceShare * n.Settings.LinkRate,
@@ -188,7 +194,7 @@
 	group.Go(func() error { return n.followConfig(ctx) })
 	group.Go(func() error { return n.watchFleet(ctx) })
 	group.Go(func() error { return n.runEntryWriter(ctx) })
-	group.Go(func() error { return n.identify(ctx) })
+	group.Go(func() error { return n.settleUpstream(ctx) })
 	group.Go(func() error { return n.tick(ctx) })
 	return group.Wait()
 }
--- a/proxy/notice.go
+++ b/proxy/notice.go
@@ -4,6 +4,7 @@
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/procs"
 	"github.com/cyclamensaddle/cyclam/wire"
 )
 
@@ -127,11 +128,12 @@
 
 // ownNotice returns what is known of the local upstream process. The caller holds schedMu.
 func (n *Node) ownNotice() notice {
+	p := n.upstream.procs.Named()
 	return notice{
-		upstream:     n.upstream.id,
-		startedAt:    n.upstream.startedAt,
+		upstream:     p.ID,
+		startedAt:    p.Start,
 		limit:        n.upstream.reported.rateLimit,
-		leavingSince: n.upstream.leavingSince,
+		leavingSince: n.upstream.procs.LeavingSince(),
 	}
 }
 
@@ -147,6 +149,10 @@
 		return
 	}
 	t := decodeNotice(w, now)
+	if !t.leavingSince.IsZero() {
+		p := processOf(t.upstream, w.GetStartedMs())
+		n.changeUpstreamLocked("notice", func(_ time.Time, s procs.State) procs.State { return s.WithNotice(now, p, t.leavingSince) })
+	}
 	for id, known := range n.ownNotices {
 		if now.Sub(known.receivedAt) > noticeTTL {
 			delete(n.ownNotices, id)
@@ -158,27 +164,17 @@
 		return
 	}
 	n.ownNotices[t.upstream] = t
-	n.applyNotices(now)
+	n.applyLimitNotice(now)
 }
 
-// applyNotices applies what other nodes were told of the present upstream process: that
-// it leaves, and its limit unless the process has answered this node. The caller holds
-// schedMu.
-func (n *Node) applyNotices(now time.Time) {
-	t, ok := n.ownNotices[n.upstream.id]
-	if !ok || !t.concerns(n.upstream.id, n.upstream.startedAt) {
+// applyLimitNotice applies the limit that other nodes were told of the present upstream
+// process, unless the process has answered this node. The caller holds schedMu.
+func (n *Node) applyLimitNotice(now time.Time) {
+	present := n.upstream.procs.Present()
+	t, ok := n.ownNotices[present.ID]
+	if !ok || !t.concerns(present.ID, present.Start) || n.upstream.reported.rateLimit.Known() || !t.limit.Known() {
 		return
 	}
-	if !n.upstream.reported.rateLimit.Known() && t.limit.Known() {
-		n.Log.Info("upstream-notice-received", "upstream", t.upstream, "limit", t.limit)
-		n.setRateLimit(now, t.limit)
-	}
-	if t.leavingSince.IsZero() || n.upstream.leaving && !t.leavingSince.Before(n.upstream.leavingSince) {
-		return
-	}
-	if !n.upstream.leaving {
-		n.Log.Info("upstream-notice-received", "upstream", t.upstream, "leaving-for", now.Sub(t.leavingSince))
-		n.requestEntryWrite()
-	}
-	n.markLeaving(t.leavingSince)
+	n.Log.Info("upstream-notice-received", "upstream", t.upstream, "limit", t.limit)
+	n.setRateLimit(now, t.limit)
 }
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -155,14 +155,14 @@
 	for _, f := range j.offer.Headers {
 		header.Add(f.Name, string(f.Value))
 	}
-	target, process := n.upstreamProcess()
+	to := n.addressee()
 	caller := cyclam.ServiceName(j.offer.CallerService)
 	beforeSend := func(header http.Header) error {
 		now := time.Now()
 		n.Dialect.WriteAttempt(header, cyclam.AttemptMeta{
 			ID:        id,
 			Remaining: j.deadline.Sub(now),
-			Target:    target,
+			Target:    to.id,
 			Caller:    caller,
 		})
 		if err := j.maySend(now); err != nil {
@@ -176,7 +176,7 @@
 	}
 	sink := &jobSink{
 		job:     j,
-		observe: func(meta cyclam.AnswerMeta) { n.observeAnswer(process, meta) },
+		observe: func(meta cyclam.AnswerMeta) { n.observeAnswer(to, meta) },
 	}
 	if j.alone {
 		n.awaitQuiet(j)
@@ -271,7 +271,8 @@
 	case errors.Is(err, origin.ErrNotSent):
 		run.Ran, run.Failed, reason = false, true, cyclam.ReasonUpstreamDown
 	case sink.meta.Misdirected:
-		n.forgetUpstream()
+		n.Log.Warn("upstream-replaced", "address", n.Settings.Upstream)
+		go n.probe(context.Background())
 		run.Ran, reason = false, cyclam.ReasonWrongTarget
 	case sink.meta.NotRun:
 		run.Ran, run.Failed, reason = false, true, cyclam.ReasonUpstreamRefused
--- a/proxy/status.go
+++ b/proxy/status.go
@@ -89,9 +89,9 @@
 	n.schedMu.Lock()
 	load := n.scheduler.Load(now)
 	s.Upstream = UpstreamStatus{
-		ID:        n.upstream.id,
+		ID:        n.upstream.procs.Present().ID,
 		Known:     n.scheduler.Known(),
-		Leaving:   n.upstream.leaving,
+		Leaving:   !n.upstream.procs.LeavingSince().IsZero(),
 		RateLimit: load.RateLimit.String(),
 		Running:   load.Running,
 		Waiting:   load.Waiting,
--- a/proxy/store.go
+++ b/proxy/store.go
@@ -62,8 +62,10 @@
 	// checkWatch, if set, runs beside each watch call and cancels it with a cause if
 	// the watch seems dead.
 	checkWatch func(context.Context, context.CancelCauseFunc)
-	// onResponse, if set, is called after each successful response of the store.
+	// onResponse, if set, is called after each successful response of the store, onFailure
+	// after each list that has failed.
 	onResponse func()
+	onFailure  func()
 }
 
 // run lists and watches until the context ends. While the store is unavailable, the
@@ -85,6 +87,9 @@
 				f.node.Log.Warn("store-lost", "kind", f.kind, "error", err)
 			}
 			lost = true
+			if f.onFailure != nil {
+				f.onFailure()
+			}
 			waitRetry(ctx, failures, risen)
 			failures++
 			continue
@@ -239,6 +244,8 @@
 		wait:     watchWait,
 		onList:   n.applyFleetList,
 		onChange: n.applyFleetEvent,
+		// A node whose store is unavailable goes by what the upstream and other nodes say.
+		onFailure: n.endRecall,
 	}
 	f.run(ctx)
 	return nil
--- a/proxy/upstream.go
+++ b/proxy/upstream.go
@@ -1,49 +1,34 @@
 package proxy
 
 import (
-	"context"
-	"io"
-	"net"
-	"net/http"
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/procs"
+	"github.com/cyclamensaddle/cyclam/sched"
 	"github.com/pkg/errors"
 )
 
-// upstreamState is the known state of the upstream process beside the node.
+// upstreamState is what is known of the upstream beside the node.
 type upstreamState struct {
-	id string
-	// startedAt is a time of the upstream's own clock; zero if the id was learned by a
-	// health check only.
-	startedAt time.Time
-	sequence  uint64
-	// withdrawnID and withdrawnStart identify the process that was withdrawn last;
-	// withdrawnAt is when it told this node, zero if an earlier process of it was told.
-	withdrawnID    string
-	withdrawnStart time.Time
-	withdrawnAt    time.Time
-	// leaving is set once the process has reported in any way that it is about to stop;
-	// leavingSince is when this was first known to the nodes.
-	leaving      bool
-	leavingSince time.Time
-	// process counts the upstream processes that this node has met at the address.
-	process uint64
-	// lastID is the id of the last process that was known.
-	lastID string
+	// procs decides which process is at the upstream's address, and whether it leaves.
+	procs procs.State
 	// reported is what the process has reported of itself in its answers.
 	reported answerReport
 }
 
-// ErrForeignUpstream rejects a status of an upstream that does not run beside this
-// node.
-var ErrForeignUpstream = errors.New("status is of an upstream that does not run beside this node")
-
-// ErrNotStarted rejects a status while the node is still initialising.
-var ErrNotStarted = errors.New("node has not started yet")
+// Errors for which a report of an upstream is not acknowledged.
+var (
+	// ErrForeignUpstream rejects a status of an upstream that does not run beside this
+	// node.
+	ErrForeignUpstream = errors.New("status is of an upstream that does not run beside this node")
+	// ErrNotStarted rejects a status while the node is still initialising.
+	ErrNotStarted = errors.New("node has not started yet")
+)
 
 // Announce applies a status reported by the upstream. A status that is older than the
-// known one is ignored without an error.
+// known one is ignored without an error. If it is not certain that the status still holds,
+// the upstream is asked for its health first.
 func (n *Node) Announce(status cyclam.UpstreamStatus) error {
 	if !n.prepared.Load() {
 		return cyclam.AtStep("announce", status.Address, ErrNotStarted)
@@ -51,62 +36,33 @@
 	if status.Address != n.Settings.Upstream || status.Service != n.Settings.Self.Service {
 		return cyclam.AtStep("announce", status.Address, ErrForeignUpstream)
 	}
-	now := time.Now()
-	n.schedMu.Lock()
-	known := n.upstream
-	if !newer(known, status) {
-		n.schedMu.Unlock()
-		return nil
-	}
-	newProcess := known.id != status.ID || !known.startedAt.IsZero() && !known.startedAt.Equal(status.StartedAt)
-	withdrawn := known.isWithdrawn(status)
-	n.upstream.id, n.upstream.lastID = status.ID, status.ID
-	n.upstream.startedAt, n.upstream.sequence = status.StartedAt, status.Sequence
-	if newProcess {
-		n.upstream.beginProcess()
-	}
-	if newProcess || !n.scheduler.Known() {
-		n.scheduler = n.scheduler.WithUpstream(status.Slots)
-	} else {
-		n.scheduler = n.scheduler.WithDown(false).WithSlots(status.Slots)
-	}
-	if withdrawn && !known.withdrawnAt.IsZero() {
-		n.markLeaving(known.withdrawnAt)
-	} else if status.Leaving || withdrawn {
-		n.markLeaving(now)
-	}
-	n.applyNotices(now)
-	leaving := n.upstream.leaving
-	n.schedMu.Unlock()
-	if newProcess {
-		n.noteCrash(n.crashes.noteReplaced(now), "replaced")
+	p := procs.Process{
+		ID:    status.ID,
+		Start: status.StartedAt,
 	}
-	if newProcess || leaving != known.leaving {
-		n.Log.Info("upstream-changed",
-			"upstream", status.ID,
-			"born", status.StartedAt.UnixMilli(),
-			"sequence", status.Sequence,
-			"leaving", leaving,
-			"cold", status.WarmUp,
-			"slots", status.Slots,
-		)
-		n.requestEntryWrite()
+	n.changeUpstream("report", func(now time.Time, s procs.State) procs.State {
+		return s.WithReport(now, p, status.Sequence, status.Leaving)
+	})
+	n.applySlots(status)
+	if !status.Leaving {
+		n.settleReport(status.ID)
+		n.applySlots(status)
 	}
 	return nil
 }
 
-// newer reports whether status is more recent than known. Start times are compared only
-// with each other because they come from the upstream's clock.
-func newer(known upstreamState, status cyclam.UpstreamStatus) bool {
-	switch {
-	case known.id == "" || known.startedAt.IsZero():
-		return true
-	case !known.startedAt.Equal(status.StartedAt):
-		return status.StartedAt.After(known.startedAt)
-	case known.id != status.ID:
-		return true
-	default:
-		return status.Sequence > known.sequence
+// applySlots applies the number of slots in a status, if it is of the process that is taken to
+// be at the address.
+func (n *Node) applySlots(status cyclam.UpstreamStatus) {
+	n.schedMu.Lock()
+	defer n.schedMu.Unlock()
+	before := n.scheduler.Tuning.Slots
+	if n.upstream.procs.Present().ID != status.ID {
+		return
+	}
+	n.scheduler = n.scheduler.WithSlots(status.Slots)
+	if n.scheduler.Tuning.Slots != before {
+		n.requestEntryWrite()
 	}
 }
 
@@ -116,193 +72,103 @@
 	if !n.prepared.Load() {
 		return cyclam.AtStep("withdraw", id, ErrNotStarted)
 	}
-	now := time.Now()
-	n.schedMu.Lock()
-	current := n.upstream.isProcess(id, startedAt)
-	if current || n.upstream.id == "" {
-		if !startedAt.IsZero() {
-			n.upstream.startedAt = startedAt
-		}
-		n.markLeaving(now)
-		n.upstream.withdrawnID, n.upstream.withdrawnStart, n.upstream.withdrawnAt = id, startedAt, now
-	}
-	n.schedMu.Unlock()
-	n.Log.Info("upstream-leaves", "upstream", id, "current", current)
-	if current {
-		n.requestEntryWrite()
+	p := procs.Process{
+		ID:    id,
+		Start: startedAt,
 	}
+	n.Log.Info("upstream-leaves", "upstream", id, "current", n.upstreamID() == id)
+	n.changeUpstream("deregistration", func(now time.Time, s procs.State) procs.State { return s.WithLeave(now, p) })
 	return nil
 }
 
-// markLeaving records that the upstream process is about to stop, and that this is known
-// since a time. The caller holds schedMu.
-func (n *Node) markLeaving(since time.Time) {
-	if !n.upstream.leaving || since.Before(n.upstream.leavingSince) {
-		n.upstream.leavingSince = since
-	}
-	n.upstream.leaving = true
-	n.scheduler = n.scheduler.WithLeaving(since)
-}
-
-func (n *Node) upstreamID() string {
+// changeUpstream applies evidence of which process is at the upstream's address, and carries
+// out what follows from it.
+func (n *Node) changeUpstream(cause string, change func(time.Time, procs.State) procs.State) {
 	n.schedMu.Lock()
-	defer n.schedMu.Unlock()
-	return n.upstream.id
-}
-
-// forgetUpstream drops the known upstream id because another process answers at its
-// address, and probes that process.
-func (n *Node) forgetUpstream() {
-	n.schedMu.Lock()
-	n.upstream.id = ""
-	n.schedMu.Unlock()
-	n.Log.Warn("upstream-replaced", "address", n.Settings.Upstream)
-	go n.probe(context.Background())
-}
-
-const (
-	// probeTimeout bounds one health check.
-	probeTimeout = 700 * time.Millisecond
-	// healthAnswerLimit bounds the head and the body of its answer each, in bytes.
-	healthAnswerLimit = 64 << 10
-	// identifyInterval is the pause between health checks of a node that has just
-	// started and has not received a status of its upstream.
-	identifyInterval = 400 * time.Millisecond
-	// configPoll is the pause while there is no configuration, which holds the health
-	// check's path.
-	configPoll = 20 * time.Millisecond
-	// identifyTries is the most health checks made to identify the upstream; its own
-	// status arrives later in any case.
-	identifyTries = 6
-)
-
-// identify learns the upstream's id by health checks, so that a node that restarted
-// alone can serve before the upstream's next status.
-func (n *Node) identify(ctx context.Context) error {
-	for tries := 0; tries < identifyTries && n.upstreamID() == ""; {
-		wait := configPoll
-		if n.current.Load() != nil {
-			n.probe(ctx)
-			tries++
-			wait = identifyInterval
-		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-time.After(wait):
-		}
-	}
-	return nil
-}
-
-// probe runs one health check. An unhealthy upstream may be about to exit; it gets no
-// requests until it reports a status.
-func (n *Node) probe(ctx context.Context) {
-	t := n.current.Load()
-	if t == nil {
-		return
-	}
-	service, ok := t.Service(n.Settings.Self.Service)
-	if !ok || service.HealthPath == "" {
-		return
-	}
-	h, err := n.checkHealth(ctx, service.HealthPath)
-	n.Log.Info("upstream-probed", "upstream", h.id, "healthy", h.healthy, "error", err)
-	if err != nil {
-		return
-	}
-	n.schedMu.Lock()
-	process := n.upstream.process
-	if h.healthy && h.id != "" && n.upstream.id == "" && n.upstream.withdrawnID != h.id {
-		n.identifyLocked(h.id)
-	}
-	replaced := n.upstream.process != process
+	replaced := n.changeUpstreamLocked(cause, change)
 	n.schedMu.Unlock()
 	if replaced {
 		n.noteCrash(n.crashes.noteReplaced(time.Now()), "replaced")
 	}
-	n.schedMu.Lock()
-	defer n.schedMu.Unlock()
-	if h.id != "" && n.upstream.id == h.id {
-		n.observeHealth(time.Now(), h.meta)
-	}
 }
 
-// identifyLocked records the id of the upstream process that a health check has told. The
-// caller holds schedMu.
-func (n *Node) identifyLocked(id string) {
-	if n.upstream.lastID != id {
-		n.upstream.beginProcess()
+// changeUpstreamLocked does the work of changeUpstream, and reports whether a process has come
+// that was not there before. The caller holds schedMu.
+func (n *Node) changeUpstreamLocked(cause string, change func(time.Time, procs.State) procs.State) bool {
+	now := time.Now()
+	before := n.upstream.procs
+	after := change(now, before)
+	n.upstream.procs = after
+	roundBefore, _ := before.Asks()
+	since := after.LeavingSince()
+	if round, _ := after.Asks(); round == roundBefore && since.Equal(before.LeavingSince()) {
+		return false
+	}
+	replaced := after.Count() != before.Count()
+	if replaced {
+		n.upstream.reported = answerReport{
+			loggedLimit: n.upstream.reported.loggedLimit,
+		}
 		n.scheduler = n.scheduler.WithUpstream(0)
+		n.applyLimitNotice(now)
+	}
+	n.scheduler = n.scheduler.WithKnown(after.Target() != "").WithoutLeaving()
+	if !since.IsZero() {
+		n.scheduler = n.scheduler.WithLeaving(since)
+	}
+	n.decideLocked(func(s sched.State) (sched.State, []sched.Decision) { return s.Tick(now) })
+	if replaced || after.Target() != before.Target() || since.IsZero() != before.LeavingSince().IsZero() {
+		p := after.Present()
+		fields := []any{"upstream", p.ID, "born", startedMs(p), "cause", cause, "admitted", after.Target() != ""}
+		if !since.IsZero() {
+			fields = append(fields, "leaving-for", now.Sub(since))
+		}
+		n.Log.Info("upstream-changed", fields...)
 	}
-	n.upstream.id, n.upstream.lastID = id, id
-	n.applyNotices(time.Now())
 	n.requestEntryWrite()
+	return replaced
 }
 
-// health is the result of a health check: the upstream's id, whether it is healthy, and
-// what its answer says of it.
-type health struct {
-	id      string
-	healthy bool
-	meta    cyclam.AnswerMeta
+// startedMs returns when a process started, in milliseconds since the Unix epoch by its own
+// clock; zero if it is not known.
+func startedMs(p procs.Process) int64 {
+	if p.Start.IsZero() {
+		return 0
+	}
+	return p.Start.UnixMilli()
 }
 
-// checkHealth requests path from the upstream.
-func (n *Node) checkHealth(ctx context.Context, path string) (health, error) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	transport := &http.Transport{
-		DialContext:            func(ctx context.Context, _, address string) (net.Conn, error) { return n.Dial(ctx, address) },
-		DisableKeepAlives:      true,
-		MaxResponseHeaderBytes: healthAnswerLimit,
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.Settings.Upstream+path, nil)
-	if err != nil {
-		return health{}, errors.Wrap(err, "create health check request")
-	}
-	resp, err := transport.RoundTrip(req)
-	if err != nil {
-		return health{}, cyclam.AtStep("health check", n.Settings.Upstream, err)
+// processOf returns the process with an id and a start in milliseconds, or zero.
+func processOf(id string, startedMs int64) procs.Process {
+	p := procs.Process{
+		ID: id,
 	}
-	defer resp.Body.Close()
-	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, healthAnswerLimit)); err != nil {
-		return health{}, cyclam.AtStep("health check", n.Settings.Upstream, err)
+	if startedMs != 0 {
+		p.Start = time.UnixMilli(startedMs)
 	}
-	return health{
-		id:      n.Dialect.ParseInstance(resp.Header),
-		healthy: resp.StatusCode == http.StatusOK,
-		meta:    n.Dialect.ParseAnswer(resp.StatusCode, resp.Header),
-	}, nil
+	return p
 }
 
-// restoreWithdrawal applies a withdrawal of the upstream process with this id and start
-// time, which may not be known, that an earlier process of this node has stored.
-func (n *Node) restoreWithdrawal(id string, startedAt time.Time) {
+// upstreamID returns the id of the process to which requests go; empty if there is none.
+func (n *Node) upstreamID() string {
 	n.schedMu.Lock()
 	defer n.schedMu.Unlock()
-	n.upstream.withdrawnID, n.upstream.withdrawnStart, n.upstream.withdrawnAt = id, startedAt, time.Time{}
-	if n.upstream.isProcess(id, startedAt) {
-		n.markLeaving(time.Now())
-	}
+	return n.upstream.procs.Target()
 }
 
-// isWithdrawn reports whether a status is of the process that was withdrawn last. If that did
-// not say when it started, a status tells by whether its process ran already then: both clocks
-// are those of one machine.
-func (u *upstreamState) isWithdrawn(status cyclam.UpstreamStatus) bool {
-	switch {
-	case u.withdrawnID != status.ID:
-		return false
-	case u.withdrawnStart.IsZero() && !status.StartedAt.IsZero():
-		return !status.StartedAt.After(u.withdrawnAt)
-	default:
-		return u.withdrawnStart.Equal(status.StartedAt)
-	}
+// addressee is the upstream process to which a request is sent.
+type addressee struct {
+	id string
+	// number is how many processes this node has met at the address before it, and it.
+	number uint64
 }
 
-// isProcess reports whether the known process has this id and start time. One without a
-// start time is told apart by its id alone.
-func (u *upstreamState) isProcess(id string, startedAt time.Time) bool {
-	return u.id == id && (startedAt.IsZero() || u.startedAt.IsZero() || u.startedAt.Equal(startedAt))
+// addressee returns the process to which requests go.
+func (n *Node) addressee() addressee {
+	n.schedMu.Lock()
+	defer n.schedMu.Unlock()
+	return addressee{
+		id:     n.upstream.procs.Target(),
+		number: n.upstream.procs.Count(),
+	}
 }
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -83,7 +83,6 @@
 	known    bool
 	leaving  bool
 	drainEnd time.Time
-	down     bool
 	// routes holds the service time of each route. serviceTime is the mean of those
 	// that have settled; an average over all runs, which it is until then, would
 	// depend on which routes ran last.
@@ -126,7 +125,6 @@
 	}
 	s.known = true
 	s.leaving = false
-	s.down = false
 	s.failureRate = 0
 	s.externalLoad = 0
 	s.rate = rate{}
@@ -153,6 +151,23 @@
 	return s
 }
 
+// WithoutLeaving returns the state after it has become known that the upstream does not
+// leave.
+func (s State) WithoutLeaving() State {
+	s.leaving = false
+	return s
+}
+
+// Drained reports whether the upstream leaves and its drain time is over.
+func (s State) Drained(now time.Time) bool { return s.leaving && !now.Before(s.drainEnd) }
+
+// WithKnown returns the state after it has become known whether a process of the upstream is
+// there to run work.
+func (s State) WithKnown(known bool) State {
+	s.known = known
+	return s
+}
+
 // WithRateLimit returns the state after the upstream has named a limit on the requests
 // that it takes from all instances together, or none. An unknown limit changes nothing.
 func (s State) WithRateLimit(now time.Time, limit cyclam.RateLimit) State {
@@ -172,13 +187,6 @@
 	return !s.heldBackAt.IsZero() && now.Sub(s.heldBackAt) <= within
 }
 
-// WithDown returns the state after a check of whether the upstream accepts
-// connections; down is set if it does not.
-func (s State) WithDown(down bool) State {
-	s.down = down
-	return s
-}
-
 // Known reports whether an upstream is known.
 func (s State) Known() bool { return s.known }
 
@@ -256,9 +264,9 @@
 // refusalReason returns why no work may start; empty if it may.
 func (s State) refusalReason(now time.Time) cyclam.Reason {
 	switch {
-	case !s.known, s.down:
+	case !s.known:
 		return cyclam.ReasonUpstreamDown
-	case s.leaving && !now.Before(s.drainEnd):
+	case s.Drained(now):
 		return cyclam.ReasonDraining
 	default:
 		return ""
