--- a/procs/model_test.go
+++ b/procs/model_test.go
@@ -50,7 +50,9 @@
 type model struct {
 	*rapid.T
 
-	now    time.Time
+	now time.Time
+	// clock is how far the time of day that processes see is off.
+	clock  time.Duration
 	holder *holder
 	starts int
 	late   []message
@@ -94,7 +96,7 @@
 		id = fmt.Sprintf("i-%d", m.starts-1)
 	}
 	// No two processes of an id start in the same millisecond.
-	start := m.now.Truncate(time.Second).Add(time.Duration(m.starts) * time.Millisecond)
+	start := m.now.Add(m.clock).Truncate(time.Second).Add(time.Duration(m.starts) * time.Millisecond)
 	m.holder = &holder{
 		Process: procs.Process{
 			ID:    id,
@@ -266,7 +268,7 @@
 
 // act plays one random event.
 func (m *model) act() {
-	switch rapid.IntRange(0, 12).Draw(m.T, "event") {
+	switch rapid.IntRange(0, 13).Draw(m.T, "event") {
 	case 0, 1, 2:
 		m.advance(m.span(0, 2*time.Second, "pause"))
 	case 3, 4:
@@ -291,6 +293,8 @@
 	case 10:
 		m.restart()
 	case 11:
+		m.clock = m.span(-3*time.Second, 3*time.Second, "clock")
+	case 12:
 		m.storeDown = !m.storeDown
 		m.keep()
 		m.notice()
@@ -344,9 +348,9 @@
 	}
 }
 
-// No order of reports, leaves, health checks and notices, with processes that come and go and
-// nodes that restart, may send requests to a process whose leave was acknowledged, or keep
-// them from a process that is ready.
+// No order of reports, leaves, health checks and notices, with processes that come and go,
+// clocks that jump and nodes that restart, may send requests to a process whose leave was
+// acknowledged, or keep them from a process that is ready.
 func TestProcessesModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t)
--- a/procs/procs.go
+++ b/procs/procs.go
@@ -2,9 +2,9 @@
 // whether a leave that was heard of binds that process. It does no input or output.
 //
 // The evidence is contradictory at times. A report may arrive seconds after its process has
-// ended or has said that it leaves. A process may start again under its id. The node itself may
-// have been restarted, and then knows only what the store, other nodes and the upstream tell
-// it. A report is therefore believed only if nothing that may have happened after it speaks
+// ended or has said that it leaves. A process may start again under its id, and start times come
+// from a clock that may jump. The node itself may have been restarted, and then knows only what
+// the store, other nodes and the upstream tell it. A report is therefore believed only if nothing that may have happened after it speaks
 // against it; otherwise a health check decides. Requests go to a process by its id, and only
 // once a report has proved that it belongs to the node's service. A leave holds from the first
 // word of it until a process that did not say it is known to be at the address.
@@ -30,7 +30,8 @@
 	// ID is what the process is addressed by. A process may start again under the id that it
 	// had.
 	ID string
-	// Start is when the process started, by its own clock; zero if not known.
+	// Start is when the process started, by its own clock; zero if not known. As the clock may
+	// jump, it tells processes of one id apart, but does not order them for certain.
 	Start time.Time
 }
 
@@ -44,8 +45,9 @@
 	// its last report.
 	reported bool
 	sequence uint64
-	// readyAt is when the process last reported that it is ready.
-	readyAt time.Time
+	// readyAt is when the process last reported that it is ready, readyBefore the time before.
+	readyAt     time.Time
+	readyBefore time.Time
 	// leftAt is since when it is known that the process leaves, zero if it is not known to
 	// leave, and heardAt when that was last heard. presumed is set if the leave named no start,
 	// so that it may be that of another process with the same id.
@@ -140,7 +142,7 @@
 // changes nothing.
 func (s State) WithReport(now time.Time, p Process, sequence uint64, leaving bool) State {
 	r, _ := s.find(p)
-	if r.reported && sequence <= r.sequence || s.isOlder(p) {
+	if r.reported && sequence <= r.sequence {
 		return s
 	}
 	first := !r.reported
@@ -151,7 +153,7 @@
 	if leaving {
 		return s.with(r).withLeave(now, p)
 	}
-	r.readyAt = now
+	r.readyBefore, r.readyAt = r.readyAt, now
 	s = s.with(r)
 	switch {
 	case r.hasLeft() && !r.presumed:
@@ -165,6 +167,12 @@
 			s.present = p
 		}
 		return s
+	case s.admitted && !s.follows(r, first):
+		if s.present.ID != p.ID {
+			s.asks = true
+			s.round++
+		}
+		return s
 	default:
 		return s.withAdmitted(r)
 	}
@@ -197,15 +205,18 @@
 	return !s.recalled && now.Sub(s.began) < recallTime
 }
 
-// isOlder reports whether a process has started before the present one.
-func (s State) isOlder(p Process) bool {
-	return s.admitted && !p.Start.IsZero() && p.Start.Before(s.present.Start)
+// follows reports whether a process that has reported itself has taken the place of the
+// present one: it has started later, or has reported itself twice since the present one last
+// did. The clock may have jumped, and the first report may be late.
+func (s State) follows(r record, first bool) bool {
+	present, _ := s.find(s.present)
+	return first && r.Start.After(present.Start) || r.readyBefore.After(present.readyAt)
 }
 
 // WithLeave returns the state after a process has said in another way than by a report that
 // it leaves. Without a start it may be any process with its id.
 func (s State) WithLeave(now time.Time, p Process) State {
-	if r, _ := s.find(p); s.isOlder(p) || r.hasLeft() && !r.presumed && !p.Start.IsZero() && !p.is(s.present) {
+	if r, _ := s.find(p); r.hasLeft() && !r.presumed && !p.Start.IsZero() && !p.is(s.present) {
 		return s
 	}
 	return s.withLeave(now, p)
