--- a/procs/model_test.go
+++ b/procs/model_test.go
@@ -31,6 +31,7 @@
 type holder struct {
 	procs.Process
 
+	own      bool
 	sequence uint64
 	leaving  bool
 	// ackedAt is when its leave was acknowledged; zero if it was not. vague is set if it did
@@ -52,10 +53,11 @@
 
 	now time.Time
 	// clock is how far the time of day that processes see is off.
-	clock  time.Duration
-	holder *holder
-	starts int
-	late   []message
+	clock   time.Duration
+	holder  *holder
+	starts  int
+	service map[string]bool
+	late    []message
 	// node is what the node's present process knows, which is the lives-th.
 	node  procs.State
 	lives int
@@ -84,16 +86,21 @@
 	return m.span(time.Millisecond, latestReport, "late by") + time.Duration(len(m.late)+1)*time.Microsecond
 }
 
-// startProcess lets a process take the address: a new one, or one that has started again under
-// the id of a former one.
-func (m *model) startProcess() {
+// startProcess lets a process take the address: a new one of the node's service, one that has
+// started again under the id of a former one, or one of another service.
+func (m *model) startProcess(own bool) {
 	m.starts++
 	id := fmt.Sprintf("i-%d", m.starts)
-	if m.holder != nil && m.chance(50, "same id") {
+	if own && m.holder != nil && m.holder.own && m.chance(50, "same id") {
 		id = m.holder.ID
 	}
-	if m.starts > 1 && m.chance(15, "an earlier id") {
-		id = fmt.Sprintf("i-%d", m.starts-1)
+	if own && m.starts > 1 && m.chance(15, "an earlier id") {
+		if earlier := fmt.Sprintf("i-%d", m.starts-1); m.service[earlier] {
+			id = earlier
+		}
+	}
+	if own {
+		m.service[id] = true
 	}
 	// No two processes of an id start in the same millisecond.
 	start := m.now.Add(m.clock).Truncate(time.Second).Add(time.Duration(m.starts) * time.Millisecond)
@@ -102,13 +109,15 @@
 			ID:    id,
 			Start: start,
 		},
+		own: own,
 	}
 }
 
-// beat sends a report of the holder, which arrives after a delay.
+// beat sends a report of the holder, which arrives after a delay. The node refuses those of
+// another service.
 func (m *model) beat(delay time.Duration) {
 	h := m.holder
-	if h == nil {
+	if h == nil || !h.own {
 		return
 	}
 	h.sequence++
@@ -136,7 +145,7 @@
 // leave lets the holder say that it leaves, by a report or without one.
 func (m *model) leave(delay time.Duration) {
 	h := m.holder
-	if h == nil {
+	if h == nil || !h.own {
 		return
 	}
 	h.leaving = true
@@ -215,6 +224,15 @@
 	}
 }
 
+// request sends a request to the process that the node believes in.
+func (m *model) request() {
+	target := m.node.Target()
+	if target == "" || m.holder == nil || m.holder.ID == target {
+		return
+	}
+	m.node = m.node.WithMisdirected(m.now, target)
+}
+
 // check asks the holder for its health, which it answers after a delay.
 func (m *model) check(delay time.Duration) {
 	round, asks := m.node.Asks()
@@ -257,6 +275,9 @@
 // verify checks what must hold at any time.
 func (m *model) verify() {
 	target := m.node.Target()
+	if target != "" && !m.service[target] {
+		m.Fatalf("requests go to %s, which is not of the node's service", target)
+	}
 	h := m.holder
 	if h == nil || h.ackedAt.IsZero() || target != h.ID {
 		return
@@ -268,7 +289,7 @@
 
 // act plays one random event.
 func (m *model) act() {
-	switch rapid.IntRange(0, 13).Draw(m.T, "event") {
+	switch rapid.IntRange(0, 14).Draw(m.T, "event") {
 	case 0, 1, 2:
 		m.advance(m.span(0, 2*time.Second, "pause"))
 	case 3, 4:
@@ -278,12 +299,12 @@
 	case 6:
 		m.holder = nil
 	case 7:
-		m.startProcess()
+		m.startProcess(true)
 		if m.chance(70, "reports at once") {
 			m.beat(0)
 		}
 	case 8:
-		m.startProcess()
+		m.startProcess(m.chance(50, "own"))
 	case 9:
 		delay := time.Duration(0)
 		if m.chance(20, "late leave") {
@@ -298,8 +319,10 @@
 		m.storeDown = !m.storeDown
 		m.keep()
 		m.notice()
-	default:
+	case 13:
 		m.notice()
+	default:
+		m.request()
 	}
 	m.verify()
 	if m.chance(60, "check") {
@@ -316,8 +339,8 @@
 // and checks that it is used soon after that, and after the last late word of others.
 func (m *model) settle(within time.Duration) {
 	m.storeDown = false
-	if m.holder == nil || m.holder.leaving {
-		m.startProcess()
+	if m.holder == nil || !m.holder.own || m.holder.leaving {
+		m.startProcess(true)
 	}
 	began := m.now
 	for _, msg := range m.late {
@@ -328,6 +351,7 @@
 	for m.now.Sub(began) < within {
 		m.beat(0)
 		for range int(beatInterval / checkInterval) {
+			m.request()
 			m.notice()
 			m.check(0)
 			m.advance(checkInterval)
@@ -341,16 +365,17 @@
 
 func newModel(t *rapid.T) *model {
 	return &model{
-		T:    t,
-		now:  modelStart,
-		node: procs.New(modelStart),
-		told: map[procs.Process]time.Time{},
+		T:       t,
+		now:     modelStart,
+		service: map[string]bool{},
+		node:    procs.New(modelStart),
+		told:    map[procs.Process]time.Time{},
 	}
 }
 
-// No order of reports, leaves, health checks and notices, with processes that come and go,
-// clocks that jump and nodes that restart, may send requests to a process whose leave was
-// acknowledged, or keep them from a process that is ready.
+// No order of reports, leaves, health checks, refusals and notices, with processes that
+// come and go, clocks that jump and nodes that restart, may send requests to another service
+// or to a process whose leave was acknowledged, or keep them from a process that is ready.
 func TestProcessesModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t)
--- a/procs/procs.go
+++ b/procs/procs.go
@@ -2,9 +2,10 @@
 // whether a leave that was heard of binds that process. It does no input or output.
 //
 // The evidence is contradictory at times. A report may arrive seconds after its process has
-// ended or has said that it leaves. A process may start again under its id, and start times come
-// from a clock that may jump. The node itself may have been restarted, and then knows only what
-// the store, other nodes and the upstream tell it. A report is therefore believed only if nothing that may have happened after it speaks
+// ended or has said that it leaves. A process may start again under its id, the address may
+// go to another service, and start times come from a clock that may jump. The node itself may
+// have been restarted, and then knows only what the store, other nodes and the upstream tell
+// it. A report is therefore believed only if nothing that may have happened after it speaks
 // against it; otherwise a health check decides. Requests go to a process by its id, and only
 // once a report has proved that it belongs to the node's service. A leave holds from the first
 // word of it until a process that did not say it is known to be at the address.
@@ -54,6 +55,8 @@
 	leftAt   time.Time
 	heardAt  time.Time
 	presumed bool
+	// refutedAt is when another process was found at the address.
+	refutedAt time.Time
 	// admitted is set once the process was admitted.
 	admitted bool
 }
@@ -187,7 +190,7 @@
 // isDoubtful reports whether something that may have happened after the report of a process
 // speaks against it.
 func (s State) isDoubtful(now time.Time, r record) bool {
-	if s.AwaitsRecall(now) || r.presumed {
+	if s.AwaitsRecall(now) || r.presumed || now.Sub(r.refutedAt) < lateness {
 		return true
 	}
 	if !r.admitted && now.Sub(s.began) < lateness {
@@ -312,10 +315,7 @@
 	if id == "" || asked != s.round || s.AwaitsRecall(now) {
 		return s
 	}
-	s.round++
-	if s.admitted && s.present.ID != id {
-		s.admitted = false
-	}
+	s = s.withRefuted(now, func(r record) bool { return r.ID != id })
 	if s.admitted {
 		s.asks = false
 		if r, ok := s.successor(id); ok && healthy {
@@ -359,13 +359,35 @@
 	})
 }
 
+// WithMisdirected returns the state after a request for the process with an id has found
+// another process at the address.
+func (s State) WithMisdirected(now time.Time, id string) State {
+	s.asks = s.asks || s.admitted && s.present.ID == id
+	return s.withRefuted(now, func(r record) bool { return r.ID == id })
+}
+
+// withRefuted records that some processes are not at the address.
+func (s State) withRefuted(now time.Time, refuted func(record) bool) State {
+	s.records = slices.Clone(s.records)
+	for i, r := range s.records {
+		if refuted(r) {
+			s.records[i].refutedAt = now
+			if r.is(s.present) {
+				s.admitted = false
+			}
+		}
+	}
+	s.round++
+	return s
+}
+
 // withAdmitted returns the state after a process has been found to be at the address and not
 // to leave.
 func (s State) withAdmitted(r record) State {
 	if !r.admitted {
 		s.count++
 	}
-	r.admitted = true
+	r.admitted, r.refutedAt = true, time.Time{}
 	r.leftAt, r.presumed = time.Time{}, false
 	s.present, s.admitted, s.asks = r.Process, true, false
 	s.round++
--- a/proxy/answerreport.go
+++ b/proxy/answerreport.go
@@ -22,8 +22,8 @@
 
 // observeAnswer applies what an answer to a request says of the upstream process to which
 // the request was sent. An answer with 421 comes from another one.
-func (n *Node) observeAnswer(from addressee, meta cyclam.AnswerMeta) {
-	if meta.Misdirected {
+func (n *Node) observeAnswer(from *addressee, meta cyclam.AnswerMeta) {
+	if meta.Misdirected || from == nil {
 		return
 	}
 	n.schedMu.Lock()
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
@@ -155,10 +156,16 @@
 	for _, f := range j.offer.Headers {
 		header.Add(f.Name, string(f.Value))
 	}
-	to := n.addressee()
+	// sentTo is the process to which the request was sent last.
+	var sentTo atomic.Pointer[addressee]
 	caller := cyclam.ServiceName(j.offer.CallerService)
 	beforeSend := func(header http.Header) error {
 		now := time.Now()
+		to, err := n.addressee(now)
+		if err != nil {
+			return err
+		}
+		sentTo.Store(&to)
 		n.Dialect.WriteAttempt(header, cyclam.AttemptMeta{
 			ID:        id,
 			Remaining: j.deadline.Sub(now),
@@ -176,7 +183,7 @@
 	}
 	sink := &jobSink{
 		job:     j,
-		observe: func(meta cyclam.AnswerMeta) { n.observeAnswer(to, meta) },
+		observe: func(meta cyclam.AnswerMeta) { n.observeAnswer(sentTo.Load(), meta) },
 	}
 	if j.alone {
 		n.awaitQuiet(j)
@@ -193,6 +200,9 @@
 		BeforeSend: beforeSend,
 	}, sink)
 	n.noteRunEnd(j, sink, err)
+	if sink.meta.Misdirected {
+		n.noteMisdirected(sentTo.Load())
+	}
 	run, last := n.classifyRun(j, sink, err, time.Since(began))
 	if sink.skipped > 0 {
 		n.Log.Info("stray-bytes-skipped", append(n.jobFields(j), "bytes", sink.skipped)...)
@@ -260,6 +270,10 @@
 	switch {
 	case errors.Is(err, errOldWord):
 		run.Ran, reason = false, cyclam.ReasonUnconfirmed
+	case errors.Is(err, errAbsent):
+		run.Ran, reason = false, cyclam.ReasonUpstreamDown
+	case errors.Is(err, errDrained):
+		run.Ran, reason = false, cyclam.ReasonDraining
 	case errors.Is(err, errBanned):
 		run.Ran, reason = false, cyclam.ReasonBanned
 	case errors.Is(err, errSuspected):
@@ -271,8 +285,6 @@
 	case errors.Is(err, origin.ErrNotSent):
 		run.Ran, run.Failed, reason = false, true, cyclam.ReasonUpstreamDown
 	case sink.meta.Misdirected:
-		n.Log.Warn("upstream-replaced", "address", n.Settings.Upstream)
-		go n.probe(context.Background())
 		run.Ran, reason = false, cyclam.ReasonWrongTarget
 	case sink.meta.NotRun:
 		run.Ran, run.Failed, reason = false, true, cyclam.ReasonUpstreamRefused
--- a/proxy/upstream.go
+++ b/proxy/upstream.go
@@ -26,6 +26,12 @@
 	ErrNotStarted = errors.New("node has not started yet")
 )
 
+// Errors for which a request is not sent to the upstream.
+var (
+	errAbsent  = errors.New("no process of the service is known to be at the upstream's address")
+	errDrained = errors.New("upstream's drain time is over")
+)
+
 // Announce applies a status reported by the upstream. A status that is older than the
 // known one is ignored without an error. If it is not certain that the status still holds,
 // the upstream is asked for its health first.
@@ -163,12 +169,30 @@
 	number uint64
 }
 
-// addressee returns the process to which requests go.
-func (n *Node) addressee() addressee {
+// addressee returns the process to which a request may be sent now.
+func (n *Node) addressee(now time.Time) (addressee, error) {
 	n.schedMu.Lock()
 	defer n.schedMu.Unlock()
+	s := n.upstream.procs
+	switch {
+	case s.Target() == "":
+		return addressee{}, errAbsent
+	case n.scheduler.Drained(now):
+		return addressee{}, errDrained
+	}
 	return addressee{
-		id:     n.upstream.procs.Target(),
-		number: n.upstream.procs.Count(),
+		id:     s.Target(),
+		number: s.Count(),
+	}, nil
+}
+
+// noteMisdirected records that a request for an upstream process has found another one at its
+// address.
+func (n *Node) noteMisdirected(to *addressee) {
+	if to == nil {
+		return
 	}
+	n.Log.Warn("upstream-replaced", "upstream", to.id, "address", n.Settings.Upstream)
+	n.changeUpstream("misdirected request", func(now time.Time, s procs.State) procs.State { return s.WithMisdirected(now, to.id) })
+	n.requestSettle()
 }
