--- a/proxy/leaving_test.go
+++ b/proxy/leaving_test.go
@@ -269,3 +269,67 @@
 		t.Errorf("another process: got %+v, want %+v", got, reborn)
 	}
 }
+
+// Other nodes return the notice that a former process of the upstream has left. It must not
+// bind the process that has taken over its id, whichever the restarted node hears of first.
+func TestNoticeOfFormerUpstreamProcess(t *testing.T) {
+	for name, c := range map[string]struct {
+		// storeDown is set if the restarted node can't read its entry.
+		storeDown bool
+		// reportFirst is set if the upstream reports itself before the notice arrives.
+		reportFirst bool
+	}{
+		"entry, notice, report":              {},
+		"entry, report, notice":              {reportFirst: true},
+		"notice, report, without the store":  {storeDown: true},
+		"report, notice, without the store ": {storeDown: true, reportFirst: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestCluster(t)
+			u := newUpstream(t, "u1")
+			backend, kill := s.launch("door", u, nil)
+			front := s.start("front", nil, nil)
+			s.awaitReady(backend, front)
+			if err := backend.Withdraw("u1", firstStart); err != nil {
+				t.Fatal(err)
+			}
+			if err := front.exchangeWith(t.Context(), "door"); err != nil {
+				t.Fatal(err)
+			}
+			second := firstStart.Add(time.Second)
+			s.announce(backend, "u1", second, 1, false)
+			s.want(front, http.MethodPost, "/book/x", http.StatusOK)
+			s.waitFor("the entry holds the new process", func() bool { return !storesLeaving(t, s, "door") })
+			s.platform.down.Store(c.storeDown)
+			kill()
+			backend = s.restartUnreported(backend)
+			returnNotice := func() {
+				front.mu.Lock()
+				known := front.fleet.noticeFor("door", time.Now())
+				front.mu.Unlock()
+				if known == nil {
+					t.Error("notice that the other node returns: got none, want that of the former process")
+				}
+				backend.schedMu.Lock()
+				defer backend.schedMu.Unlock()
+				backend.acceptNotice(known, time.Now())
+			}
+			s.waitFor("the node accepts reports", backend.prepared.Load)
+			if c.reportFirst {
+				s.announce(backend, "u1", second, 2, false)
+			}
+			returnNotice()
+			s.waitFor("the new process is ready", backend.Ready)
+			s.waitFor("the upstream has been asked", func() bool { return backend.Status().Upstream.ID == "u1" })
+			s.announce(backend, "u1", second, 3, false)
+			returnNotice()
+			s.waitFor("the upstream is used", func() bool {
+				status, _, _, err := s.request(t.Context(), front, http.MethodPost, "/book/x", time.Second)
+				return err == nil && status == http.StatusOK
+			})
+			if backend.Status().Upstream.Leaving {
+				t.Error("upstream leaves: got true, want false")
+			}
+		})
+	}
+}
