--- a/origin/endless_test.go
+++ b/origin/endless_test.go
@@ -88,6 +88,44 @@
 	}
 }
 
+// An answer of the request's own whose framing does not end must be given up as well. What it
+// has delivered until then is passed on as it comes, so that nothing is kept.
+func TestEndlessFramingOfOwnAnswer(t *testing.T) {
+	const buffers = 16 << 20
+	const head = "HTTP/1.1 200 OK\r\nX-Id: id-1\r\nX-Signed: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, c := range map[string]struct{ first, repeated string }{
+		"chunk size":       {first: head, repeated: "1"},
+		"chunk extension":  {first: head + "1;", repeated: "x"},
+		"chunk extensions": {first: head, repeated: "1;" + strings.Repeat("x", 2000) + "\r\nx\r\n"},
+		"no chunk":         {first: head, repeated: "bytes that are no chunk"},
+		"trailers":         {first: head + "0\r\n", repeated: "X-Field: value\r\n"},
+		"trailer":          {first: head + "0\r\nX-Field: ", repeated: "x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, written := newEndlessUpstream(t, c.first, c.repeated)
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			began := time.Now()
+			err := newPool(address).Do(ctx, Request{
+				ID:     "id-1",
+				Method: http.MethodGet,
+				Host:   "h.example",
+				Target: "/",
+				Header: http.Header{},
+			}, &recordingSink{})
+			if err == nil {
+				t.Error("got a complete answer, want an error")
+			}
+			if got, most := time.Since(began), 2*time.Second; got > most {
+				t.Errorf("given up after %v, want at most %v: %v", got, most, err)
+			}
+			if got, most := written.Load(), int64(maxHeadBytes+maxSkippedBytes+buffers); got > most {
+				t.Errorf("written: got %d bytes, want at most %d", got, most)
+			}
+		})
+	}
+}
+
 // A head that is long but within the bound must be read whole, and the bound must not
 // apply to what follows it.
 func TestLongHead(t *testing.T) {
