--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -62,6 +62,7 @@
 	o.AnswersQuestions = target.Endpoint.Identity != c.node.self
 	o.Version = uint64(c.version)
 	o.Alone = c.suspected
+	o.Body = c.body
 	c.node.mu.Lock()
 	o.Notice = c.node.fleet.noticeFor(target.Endpoint.Instance, now)
 	c.node.mu.Unlock()
@@ -220,7 +221,7 @@
 	}
 	client := wire.NewDoorClient(conn)
 	a.stamp(time.Now())
-	stream, err := client.Serve(sctx, a.offer)
+	stream, err := serve(sctx, conn, a.offer)
 	if err != nil {
 		finish()
 		return cyclam.Completion{}, nil, err
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -16,8 +16,10 @@
 
 // call is one caller's request while it is sent to upstreams.
 type call struct {
-	node  *Node
+	node *Node
+	// offer is what is sent to each node; without the body, which all attempts share.
 	offer *wire.Offer
+	body  []byte
 	route cyclam.Route
 	// service is the service chosen by the route or its traffic split.
 	service    cyclam.ServiceName
@@ -352,7 +354,7 @@
 // hedgeDelay returns how long to wait for an answer before a hedged attempt is
 // sent. Downloads and calls that are not idempotent are never hedged.
 func (c *call) hedgeDelay() time.Duration {
-	if !c.idempotent || c.route.Kind == cyclam.RouteDownload {
+	if !c.idempotent || c.route.Kind == cyclam.RouteDownload || len(c.body) >= announcedBytes {
 		return time.Hour
 	}
 	return time.Duration(hedgeShare * float64(c.goal.Sub(c.arrived)))
--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -59,10 +59,11 @@
 	checkPause = 100 * time.Millisecond
 )
 
-// fingerprintOf returns the fingerprint of an offer's request, once it is asked for.
-func fingerprintOf(o *wire.Offer) func() poison.Fingerprint {
+// fingerprintOf returns the fingerprint of an offer's request with a body, once it is asked
+// for.
+func fingerprintOf(o *wire.Offer, body func() []byte) func() poison.Fingerprint {
 	return sync.OnceValue(func() poison.Fingerprint {
-		return poison.FingerprintOf(o.Method, o.Host, string(o.Target), o.Body)
+		return poison.FingerprintOf(o.Method, o.Host, string(o.Target), body())
 	})
 }
 
--- a/proxy/handle.go
+++ b/proxy/handle.go
@@ -45,16 +45,23 @@
 		n.reject(w, meta.ID, http.StatusNotFound, cyclam.ReasonNoRoute)
 		return
 	}
-	body, code, err := readBody(w, r, t.Config.Limits)
+	c := n.newCall(r, meta, route, began)
+	body, share, code, err := n.readBody(w, r, t.Config.Limits, began.Add(time.Duration(bodyWaitShare*float64(c.deadline.Sub(began)))))
 	if err != nil {
 		n.Log.Info("request-unreadable", "id", meta.ID, "step", "read body", "status", code, "error", err)
-		if code == 0 {
+		switch code {
+		case 0:
 			panic(http.ErrAbortHandler)
+		case http.StatusServiceUnavailable:
+			n.answer(w, r, meta.ID, began, nil, result{
+				completion: cyclam.Refused(cyclam.ReasonOverloaded, bodyRetryAfter),
+			})
+		default:
+			n.reject(w, meta.ID, code, "request-refused")
 		}
-		n.reject(w, meta.ID, code, "request-refused")
 		return
 	}
-	c := n.newCall(r, meta, route, began)
+	defer share.release()
 	if n.outlastsProcess(began, c) {
 		n.answer(w, r, meta.ID, began, nil, result{
 			completion: cyclam.Refused(cyclam.ReasonDraining, minRetryAfter),
@@ -68,8 +75,8 @@
 	c.offer.Route = route.Name
 	c.offer.Nested = n.isRunning(meta.Parent)
 	c.refused.Nested = c.offer.Nested
-	c.offer.Body = body
-	c.fingerprint = fingerprintOf(c.offer)
+	c.body = body
+	c.fingerprint = fingerprintOf(c.offer, func() []byte { return body })
 	if !c.offer.Nested {
 		n.countRequest(c.service)
 	}
@@ -154,27 +161,6 @@
 	}
 }
 
-// readBody reads a request's body. On an error it returns the HTTP status to
-// answer with; status 0 means that the caller closed the connection.
-func readBody(w http.ResponseWriter, r *http.Request, limits cyclam.Limits) ([]byte, int, error) {
-	if limits.HeaderBytes > 0 && headerSize(r) > limits.HeaderBytes {
-		return nil, http.StatusRequestHeaderFieldsTooLarge, errors.New("request header exceeds the limit")
-	}
-	if r.ContentLength == 0 {
-		return nil, 0, nil
-	}
-	reader := r.Body
-	if limits.BodyBytes > 0 {
-		reader = http.MaxBytesReader(w, r.Body, limits.BodyBytes)
-	}
-	body, err := io.ReadAll(reader)
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return nil, http.StatusRequestEntityTooLarge, err
-	}
-	return body, 0, err
-}
-
 func headerSize(r *http.Request) int64 {
 	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
 	for name, values := range r.Header {
--- a/proxy/job.go
+++ b/proxy/job.go
@@ -36,6 +36,8 @@
 	memory *answerMemory
 
 	mu sync.Mutex
+	// body is the memory that is reserved for the request's body, until the job has ended.
+	body *bodyShare
 	// word is the sender's word once the job has started.
 	word    intent.Word
 	log     []*wire.Reply
@@ -96,7 +98,7 @@
 		attempt:     attempt,
 		arrived:     now,
 		deadline:    now.Add(time.Duration(offer.RemainingUs) * time.Microsecond),
-		fingerprint: fingerprintOf(offer),
+		fingerprint: fingerprintOf(offer, offer.GetBody),
 		wake:        make(chan struct{}),
 		readers:     map[*jobCursor]bool{},
 	}
@@ -163,10 +165,24 @@
 	if last {
 		j.endedAt = time.Now()
 		j.offer.Body, j.offer.Headers = nil, nil
+		j.body.release()
+		j.body = nil
 	}
 	j.signal()
 }
 
+// keepBody hands over the memory that is reserved for the request's body. It returns false if
+// the job does not need it.
+func (j *job) keepBody(share *bodyShare) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.ended || j.body != nil {
+		return false
+	}
+	j.body = share
+	return true
+}
+
 // replyBytes returns the memory that a reply counts for, in bytes.
 func replyBytes(reply *wire.Reply) int {
 	if chunk := reply.GetChunk(); chunk != nil {
--- a/proxy/node.go
+++ b/proxy/node.go
@@ -92,6 +92,8 @@
 	pacer linkPacer
 	// answers counts the memory of the answers that the node holds.
 	answers answerMemory
+	// bodies bounds the memory of the request bodies that the node holds.
+	bodies bodyMemory
 
 	linkMu sync.Mutex
 	links  map[string]*link
@@ -163,6 +165,7 @@
 	n.ownNotices = map[string]notice{}
 	n.upstream.procs = procs.New(n.startTime)
 	n.links = map[string]*link{}
+	n.bodies.limit = int64(bodiesShare * float64(n.Settings.MemoryLimit))
 	n.pacer.state = pace.State{
 		Rate: paceShare * n.Settings.LinkRate,
 	}
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -24,6 +24,7 @@
 func (n *Node) servePeers(ctx context.Context, group *errgroup.Group, listener net.Listener) {
 	n.peers = grpc.NewServer(
 		grpc.MaxRecvMsgSize(maxMessageSize),
+		grpc.StreamInterceptor(n.boundBodies),
 		grpc.InitialWindowSize(windowSize),
 		grpc.InitialConnWindowSize(windowSize),
 		grpc.ReadBufferSize(bufferSize),
@@ -62,6 +63,7 @@
 			Replies: []*wire.Reply{final},
 		})
 	}
+	keepBody(stream.Context(), j)
 	reader := j.attach()
 	defer n.release(j, reader)
 	sent := 0
--- a/stand/drill/operator_test.go
+++ b/stand/drill/operator_test.go
@@ -68,7 +68,7 @@
 		},
 		"limits": map[string]any{
 			"max_header_bytes": 16384,
-			"max_body_bytes":   1 << 20,
+			"max_body_bytes":   64 << 20,
 			"header_timeout":   "3000ms",
 			"idle_timeout":     "15s",
 		},
