poison: only the crash of a trial bans a request

Cause: a crash counted as proof against a request if only one fingerprint was running, so that three upstreams busy with one popular request each were three proofs, without the trial that comes before a ban by design. Ruled out: the counts of several instances added twice (they are merged by instance), and an answer that was missed (none came between the crashes).

Only the crash of a trial bans now: a suspect that had the upstream to itself. Any other crash makes it a suspect, and the trial decides. This works because nothing else can be running in a trial, and a request that does no harm is answered in it.

--- a/poison/table.go
+++ b/poison/table.go
@@ -21,8 +21,7 @@
 	// Answered is the number of crashes that all instances together had reported when the
 	// upstream last answered one: they were not its fault.
 	Answered uint32
-	// Bans counts the crashes while nothing else was running, of a request that was a
-	// suspect for long enough.
+	// Bans counts the crashes of trials, in which a suspect runs while nothing else does.
 	Bans uint32
 }
 
@@ -67,7 +66,7 @@
 
 const (
 	// suspectCrashes is the number of crashes since the last answer from which a request is
-	// a suspect, banCrashes that from which it is banned if it ran alone.
+	// a suspect, banCrashes that from which it is banned if the last one was that of a trial.
 	suspectCrashes = 2
 	banCrashes     = 3
 	// banTime is how long the first ban holds. Each further one holds twice as long as the
@@ -192,23 +191,36 @@
 }
 
 // WithCrash returns the table after a process of the instance's upstream has ended while it
-// ran these requests, each named once.
+// ran these requests, each named once. That proves nothing against any of them, not even
+// against one that ran alone by chance: processes end for other reasons, too.
 func (t Table) WithCrash(now time.Time, instance cyclam.InstanceName, running []Fingerprint) Table {
 	var reports []Report
 	for _, f := range running {
-		known := t.records[f]
-		report := known.reports[instance]
-		report.Instance, report.Fingerprint = instance, f
-		report.Crashes++
-		if len(running) == 1 && known.crashes+1 >= banCrashes {
-			report.Bans++
-		}
-		reports = append(reports, report)
+		reports = append(reports, t.crashed(instance, f))
 	}
 	next, _ := t.WithReports(now, reports...)
 	return next
 }
 
+// WithTrialCrash returns the table after a process of the instance's upstream has ended in
+// the trial of a request.
+func (t Table) WithTrialCrash(now time.Time, instance cyclam.InstanceName, f Fingerprint) Table {
+	report := t.crashed(instance, f)
+	if t.records[f].crashes+1 >= banCrashes {
+		report.Bans++
+	}
+	next, _ := t.WithReports(now, report)
+	return next
+}
+
+// crashed returns the instance's report on a request after one more crash.
+func (t Table) crashed(instance cyclam.InstanceName, f Fingerprint) Report {
+	report := t.records[f].reports[instance]
+	report.Instance, report.Fingerprint = instance, f
+	report.Crashes++
+	return report
+}
+
 // WithAnswer returns the table after the instance's upstream has answered a request, and
 // whether it has changed.
 func (t Table) WithAnswer(now time.Time, instance cyclam.InstanceName, f Fingerprint) (Table, bool) {
--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -151,32 +151,37 @@
 	w.checking = false
 }
 
-// noteEnd records that the process has ended and returns the requests that it may have run
-// then, each once.
-func (w *crashWatch) noteEnd(now time.Time) []poison.Fingerprint {
+// crash is an end of the upstream's process: the requests that it may have run then, each
+// once; only the one that was on trial, if there was one.
+type crash struct {
+	running []poison.Fingerprint
+	trial   bool
+}
+
+// noteEnd records that the process has ended.
+func (w *crashWatch) noteEnd(now time.Time) crash {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.end(now, crashDelay)
 }
 
-// noteReplaced records that another process has reported itself, and returns the requests
-// that the one before may have run at its end, if that was not noted: it went unseen, or
-// the process fell silent.
-func (w *crashWatch) noteReplaced(now time.Time) []poison.Fingerprint {
+// noteReplaced records that another process has reported itself, and returns the end of the
+// one before, if that was not noted: it went unseen, or the process fell silent.
+func (w *crashWatch) noteReplaced(now time.Time) crash {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	known := !w.replaced && !w.endedAt.IsZero()
 	defer func() { w.replaced = true }()
 	if known {
 		w.lost = nil
-		return nil
+		return crash{}
 	}
 	return w.end(now, lostKept)
 }
 
-// end returns the requests that were running or were lost within a time; only the one that
-// ran alone, if there was one. The caller holds mu.
-func (w *crashWatch) end(now time.Time, within time.Duration) []poison.Fingerprint {
+// end returns the end of a process while requests were running or after they were lost within
+// a time. The caller holds mu.
+func (w *crashWatch) end(now time.Time, within time.Duration) crash {
 	var running, alone []poison.Fingerprint
 	for j, sentAt := range w.sent {
 		if sentAt.After(w.endedAt) {
@@ -204,7 +209,10 @@
 		running = alone
 	}
 	slices.Sort(running)
-	return slices.Compact(running)
+	return crash{
+		running: slices.Compact(running),
+		trial:   len(alone) > 0,
+	}
 }
 
 // checkUpstream finds out whether the upstream's process has ended, after an answer was
--- a/proxy/quarantine.go
+++ b/proxy/quarantine.go
@@ -88,16 +88,19 @@
 	return known.Verdict(time.Now(), fingerprint())
 }
 
-// noteCrash records that the upstream's process has ended while it ran these requests, and
-// tells the other nodes.
-func (n *Node) noteCrash(running []poison.Fingerprint, sign string) {
+// noteCrash records that the upstream's process has ended, and tells the other nodes.
+func (n *Node) noteCrash(c crash, sign string) {
+	running := c.running
 	if len(running) == 0 {
 		return
 	}
 	now := time.Now()
 	n.meters.upstreamCrashes.Inc(1)
-	n.Log.Warn("upstream-crashed", "upstream", n.upstreamID(), "sign", sign, "running", len(running), "requests", joinFingerprints(running))
+	n.Log.Warn("upstream-crashed", "upstream", n.upstreamID(), "sign", sign, "running", len(running), "trial", c.trial, "requests", joinFingerprints(running))
 	n.quarantine.update(n.self.Instance, func(t poison.Table) (poison.Table, bool) {
+		if c.trial {
+			return t.WithTrialCrash(now, n.self.Instance, running[0]), true
+		}
 		return t.WithCrash(now, n.self.Instance, running), true
 	})
 	n.requestEntryWrite()
