--- a/proxy/crash_test.go
+++ b/proxy/crash_test.go
@@ -91,14 +91,14 @@
 	}
 	go func(server *http.Server) { _ = server.Serve(listener) }(u.server)
 	if u.node != nil {
-		go u.announce(id)
+		go u.announce(u.node, id)
 	}
 }
 
 // announce reports the process to the node beside it.
-func (u *crasher) announce(id string) {
+func (u *crasher) announce(n *Node, id string) {
 	for range 100 {
-		if err := u.node.Announce(cyclam.UpstreamStatus{
+		if err := n.Announce(cyclam.UpstreamStatus{
 			ID:        id,
 			StartedAt: time.Now(),
 			Sequence:  1,
@@ -127,6 +127,7 @@
 		path: r.URL.Path,
 		at:   time.Now(),
 	})
+	work := u.work
 	u.mu.Unlock()
 	if strings.Contains(r.URL.Path, "poison") {
 		<-time.After(testCrashDelay)
@@ -134,7 +135,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	select {
-	case <-time.After(u.work):
+	case <-time.After(work):
 	case <-r.Context().Done():
 		panic(http.ErrAbortHandler)
 	}
@@ -219,7 +220,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.node = n
-	go u.announce(u.name + "-" + strconv.Itoa(u.starts))
+	go u.announce(n, u.name+"-"+strconv.Itoa(u.starts))
 }
 
 // send sends a request to a node and returns the status, zero without an answer.
