--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 SEED ?= $(shell date +%s)
 SEEDS ?= 20
 SKIP ?=
+PACKAGES ?= ./...
 
 .PHONY: build demo test drill fuzz bench reducer generate ci
 
@@ -14,9 +15,10 @@
 demo: build
 	$(BIN)/demo -deployment $(DEPLOYMENT) -bin $(BIN)
 
-# test runs all tests under the race detector, except those that match SKIP.
+# test runs the tests of PACKAGES under the race detector, except those that match SKIP, in
+# which make expands nothing.
 test:
-	go test -race -timeout 30m $(if $(SKIP),-skip '$(SKIP)') ./...
+	go test -race -timeout 30m $(if $(value SKIP),-skip '$(value SKIP)') $(PACKAGES)
 
 # drill runs the real program while the store returns from older copies of itself, with
 # SEEDS seeds from SEED on. It prints the seeds.
