proxy: mend races in the tests of leaves and of replaced upstreams

None is a fault of the node:

- TestRestartedNodeServesBeforeReport read the node's state before Run had set it up (data race). runUnreported now returns once the node is prepared.
- TestQueuedRequestsOfReplacedUpstream, as all tests that replace the process of the test upstream, wrote its id while the upstream answered (data race).
The id is atomic now.
- TestLeaveThatNobodyKeeps asked once, 0.8 s, after the store's return.
The entry is written after a pause that grows with the failures (here 0.87 s after the return), so that the rates of the store hold, and an upstream repeats its deregistration.
The test repeats it too; that nothing is acknowledged while nobody keeps it, and the bound on that answer, stay.
The test makes its reports itself now, and reports of the cluster arrive before run returns.

--- a/proxy/clockstep_test.go
+++ b/proxy/clockstep_test.go
@@ -29,7 +29,7 @@
 			first := time.UnixMilli(1_000_000)
 			s.announce(backend, "u1", first, 1, false)
 			second := first.Add(-stepBack)
-			u.id = c.id
+			u.become(c.id)
 			s.announce(backend, c.id, second, 1, false)
 			s.announce(backend, c.id, second, 2, false)
 			s.waitFor("the new process is used", func() bool {
--- a/proxy/cluster_test.go
+++ b/proxy/cluster_test.go
@@ -144,10 +144,19 @@
 }
 
 // run runs a node until the test ends, or the returned function is called. The upstream
-// beside it reports itself once, as upstreams do after a start of their node.
+// beside it reports itself once, as upstreams do after a start of their node: before run
+// returns, unless the upstream doesn't answer within a second.
 func (s *testCluster) run(n *Node) func() {
 	stop := s.runUnreported(n)
-	go s.report(n)
+	reported := make(chan struct{})
+	go func() {
+		defer close(reported)
+		s.report(n)
+	}()
+	select {
+	case <-reported:
+	case <-time.After(time.Second):
+	}
 	return stop
 }
 
@@ -158,9 +167,6 @@
 		return
 	}
 	_ = resp.Body.Close()
-	for deadline := time.Now().Add(5 * time.Second); !n.prepared.Load() && time.Now().Before(deadline); {
-		<-time.After(time.Millisecond)
-	}
 	if err := n.Announce(cyclam.UpstreamStatus{
 		ID:        testDialect{}.ParseInstance(resp.Header),
 		StartedAt: firstStart,
@@ -174,6 +180,8 @@
 // firstStart is when the upstreams of a cluster start, by their clock.
 var firstStart = time.UnixMilli(1)
 
+// runUnreported is run without a report of the upstream. It returns once the node's state may
+// be read.
 func (s *testCluster) runUnreported(n *Node) func() {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -188,6 +196,9 @@
 		<-done
 	}
 	s.t.Cleanup(stop)
+	for deadline := time.Now().Add(5 * time.Second); !n.prepared.Load() && time.Now().Before(deadline); {
+		<-time.After(time.Millisecond)
+	}
 	return stop
 }
 
--- a/proxy/drain_test.go
+++ b/proxy/drain_test.go
@@ -68,7 +68,7 @@
 	backend := s.start("door", u, nil)
 	s.awaitReady(backend)
 	s.waitFor("the upstream is known", func() bool { return backend.upstreamID() == "u1" })
-	u.id = "u2"
+	u.become("u2")
 	s.want(backend, http.MethodPost, "/book/x", http.StatusServiceUnavailable)
 	if got := u.runs.Load(); got != 0 {
 		t.Errorf("runs at another upstream: got %d, want 0", got)
--- a/proxy/foreignupstream_test.go
+++ b/proxy/foreignupstream_test.go
@@ -17,7 +17,7 @@
 	backend, front := s.start("door", u, nil), s.start("front", nil, nil)
 	s.awaitReady(backend, front)
 	s.want(front, http.MethodPost, "/book/x", http.StatusOK)
-	u.id = "foreign"
+	u.become("foreign")
 	s.wantUnused(u, backend, front)
 	foreign := statusOf(backend, "foreign", time.UnixMilli(5000), 1, false)
 	foreign.Service = "other"
@@ -28,7 +28,7 @@
 	// This was on its way when the former process ended.
 	s.announce(backend, "u1", firstStart, 7, false)
 	s.wantUnused(u, backend, front)
-	u.id = "u2"
+	u.become("u2")
 	s.announce(backend, "u2", time.UnixMilli(9000), 1, false)
 	s.waitFor("the new process is used", func() bool {
 		status, _, _, err := s.request(t.Context(), front, http.MethodPost, "/book/x", time.Second)
@@ -49,12 +49,12 @@
 			backend, front := s.node("door", u, nil), s.start("front", nil, nil)
 			kill := s.runUnreported(backend)
 			if known {
-				u.id = "u1"
+				u.become("u1")
 				s.report(backend)
 				s.awaitReady(backend, front)
 				s.waitFor("the entry is stored", func() bool { return storedNames(s, "door") })
 				kill()
-				u.id = "foreign"
+				u.become("foreign")
 				backend = s.restartUnreported(backend)
 			}
 			s.waitFor("the nodes are ready", func() bool { return backend.Ready() && front.Ready() })
@@ -86,7 +86,7 @@
 		}()
 	}
 	s.waitFor("all slots are taken", func() bool { return u.runs.Load() == 2 })
-	u.id = "foreign"
+	u.become("foreign")
 	for range requests {
 		<-ends
 	}
--- a/proxy/forgottenleave_test.go
+++ b/proxy/forgottenleave_test.go
@@ -145,9 +145,11 @@
 		t.Errorf("got an answer after %v, want it within %v", got, most)
 	}
 	s.platform.down.Store(false)
-	if err := backend.AwaitKept(t.Context(), "u1", firstStart); err != nil {
-		t.Errorf("after the store's return: got %v, want it kept", err)
-	}
+	// The entry is written after a pause that grows with the failures, and the upstream repeats
+	// its deregistration until it is acknowledged.
+	s.waitFor("the leave is kept after the store's return", func() bool {
+		return backend.AwaitKept(t.Context(), "u1", firstStart) == nil
+	})
 }
 
 // A node that has been restarted beside a running upstream must serve soon, though it does
--- a/proxy/idle_test.go
+++ b/proxy/idle_test.go
@@ -66,7 +66,7 @@
 	u := newUpstream(t, "u1")
 	i := startIdleTest(t, newTestCluster(t).node("door", u, nil), limit)
 	i.app = u
-	i.admitUpstream(u.id)
+	i.admitUpstream(u.is())
 	return i
 }
 
--- a/proxy/lateleave_test.go
+++ b/proxy/lateleave_test.go
@@ -41,7 +41,7 @@
 			u := newUpstream(t, "u1")
 			n := s.node("door", u, nil)
 			s.platform.down.Store(true)
-			s.run(n)
+			s.runUnreported(n)
 			left := time.Now()
 			s.waitFor("node accepts statuses", func() bool { return n.Withdraw("u1", c.leaves) == nil })
 			<-time.After(50 * time.Millisecond)
--- a/proxy/network_test.go
+++ b/proxy/network_test.go
@@ -22,7 +22,7 @@
 type upstream struct {
 	*httptest.Server
 
-	id string
+	id atomic.Pointer[string]
 	// work answers a request; nil answers at once.
 	work func(w http.ResponseWriter, r *http.Request)
 	// limit is the rate limit that all answers name, as text; nil or empty for none.
@@ -41,16 +41,21 @@
 }
 
 func newUpstream(t testing.TB, id string) *upstream {
-	u := &upstream{
-		id: id,
-	}
+	u := &upstream{}
+	u.become(id)
 	u.Server = httptest.NewServer(http.HandlerFunc(u.serve))
 	t.Cleanup(u.Close)
 	return u
 }
 
+// become puts another process at the upstream's address.
+func (u *upstream) become(id string) { u.id.Store(&id) }
+
+// is returns the id of the process at the upstream's address.
+func (u *upstream) is() string { return *u.id.Load() }
+
 func (u *upstream) serve(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("X-Instance", u.id)
+	w.Header().Set("X-Instance", u.is())
 	if r.URL.Path == "/health" && u.unhealthy.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -67,7 +72,7 @@
 	if r.URL.Path == "/health" {
 		return
 	}
-	if target := r.Header.Get("X-Target"); target != "" && target != u.id {
+	if target := r.Header.Get("X-Target"); target != "" && target != u.is() {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -164,7 +169,7 @@
 	w.conns = nil
 }
 
-func (u *upstream) String() string { return fmt.Sprintf("upstream %s: %d runs", u.id, u.runs.Load()) }
+func (u *upstream) String() string { return fmt.Sprintf("upstream %s: %d runs", u.is(), u.runs.Load()) }
 
 // A connection on which other bytes arrive must not count as silent because one reply is
 // late. One on which nothing arrives does, and is kept while no other connection delivers a
