drill: the test of a backend that says it leaves waits until an answer has told it

The test counted the drain time from the moment at which the backend began to say that it leaves. It now waits for a request first, for 30 s at most; all its bounds stay.

--- a/stand/drill/leaving_test.go
+++ b/stand/drill/leaving_test.go
@@ -19,7 +19,10 @@
 	wait(f.clientsCtx, 2*time.Second)
 	m.setSteady(false)
 	m.backend.SayLeaving()
-	// A request may have waited for its slot, and one that says so has to come first.
+	said := time.Now()
+	// Nobody knows before an answer has told it.
+	waitFor(t, 30*time.Second, "a request reaches the backend", func() bool { return got.Since(said) > 0 })
+	// A request may have waited for its slot.
 	const settled = 1500 * time.Millisecond
 	wait(f.clientsCtx, drainTime+settled)
 	drained := time.Now()
