procs: a report before the configuration is believed without a health check

Cause: since the node settles whose upstream it has, a report in the first second, or before there is a configuration, waits for both. settleUpstream then did nothing for a service that has no health check, so the upstream was used only from its next report on. The log shows it: the report is not followed by upstream-changed, nor by upstream-probed.

Change: State.WithoutHealthCheck believes the last report unless another process was found at the address since; both settleReport and settleUpstream use it. A process that is known from the entry alone, or that was found not to be at the address, is not admitted by it.

TestReportBeforeConfiguration failed before (not known within 10 s) and passes, 5 of 5 with the race detector. Services with a health check take the same paths as before.

--- a/procs/procs.go
+++ b/procs/procs.go
@@ -336,6 +336,21 @@
 	}
 }
 
+// WithoutHealthCheck is WithHealth for a service that has no health check: the process that
+// reported itself last is taken to be at the address, unless another one was found there since.
+func (s State) WithoutHealthCheck(now time.Time) State {
+	var latest record
+	for _, r := range s.records {
+		if r.readyAt.After(latest.readyAt) {
+			latest = r
+		}
+	}
+	if !s.asks || !latest.readyAt.After(latest.refutedAt) {
+		return s
+	}
+	return s.WithHealth(now, s.round, latest.ID, true)
+}
+
 // candidate returns the process with an id that may be at the address: the one that was heard
 // of last among those that are not known to have left.
 func (s State) candidate(id string) (record, bool) {
--- a/procs/procs_test.go
+++ b/procs/procs_test.go
@@ -52,6 +52,34 @@
 		"and a health check of another service": {
 			got: healthy(procs.New(in(-1)).WithStored(procs.Process{}).WithReport(in(0), first, 1, false), in(0), "foreign"),
 		},
+		"and that there is no health check": {
+			got:    procs.New(in(-1)).WithStored(procs.Process{}).WithReport(in(0), first, 1, false).WithoutHealthCheck(in(0)),
+			target: "a",
+		},
+		"that there is no health check before the entry was read": {
+			got:  procs.New(in(0)).WithReport(in(0), first, 1, false).WithoutHealthCheck(in(0)),
+			asks: true,
+		},
+		"and that there was none before": {
+			got:    procs.New(in(0)).WithReport(in(0), first, 1, false).WithoutStored().WithoutHealthCheck(in(0)),
+			target: "a",
+		},
+		"an entry without a health check": {
+			got:  procs.New(in(-1)).WithStored(first).WithoutHealthCheck(in(0)),
+			asks: true,
+		},
+		"a misdirected request without a health check": {
+			got:  ready(first).WithMisdirected(in(1), "a").WithoutHealthCheck(in(1)),
+			asks: true,
+		},
+		"and a report after it": {
+			got:    ready(first).WithMisdirected(in(1), "a").WithReport(in(2), first, 2, false).WithoutHealthCheck(in(2)),
+			target: "a",
+		},
+		"a leave without a health check": {
+			got:     procs.New(in(0)).WithReport(in(0), first, 1, false).WithLeave(in(0), first).WithoutStored().WithoutHealthCheck(in(0)),
+			leaving: true,
+		},
 		"a health check before the entry was read": {
 			got:  healthy(procs.New(in(0)).WithReport(in(0), first, 1, false), in(0), "a"),
 			asks: true,
--- a/proxy/forgottenleave_test.go
+++ b/proxy/forgottenleave_test.go
@@ -169,3 +169,20 @@
 	}
 	s.want(backend, http.MethodPost, "/book/x", http.StatusOK)
 }
+
+// A service without a health check must be served though its upstream reported itself before
+// the node had its configuration: the report was forgotten, and the next one awaited.
+func TestReportBeforeConfiguration(t *testing.T) {
+	s := newTestCluster(t)
+	config := testConfig(2)
+	config.Services[0].HealthPath = ""
+	s.platform.apply(t, config)
+	s.platform.down.Store(true)
+	u := newUpstream(t, "u1")
+	n := s.node("door", u, nil)
+	s.runUnreported(n)
+	s.announce(n, "u1", firstStart, 1, false)
+	s.platform.down.Store(false)
+	s.waitFor("the upstream is known", func() bool { return n.upstreamID() == "u1" })
+	s.want(n, http.MethodPost, "/book/x", http.StatusOK)
+}
--- a/proxy/health.go
+++ b/proxy/health.go
@@ -47,9 +47,11 @@
 		wait := time.Duration(0)
 		path, known := n.healthPath()
 		switch asks, awaitsRecall := n.asksUpstream(time.Now()); {
-		case !asks || tries >= settleTries || known && path == "":
+		case !asks || tries >= settleTries:
 		case !known || awaitsRecall:
 			wait = configPoll
+		case path == "":
+			n.believeReport()
 		default:
 			n.probe(ctx)
 			tries++
@@ -69,9 +71,9 @@
 	}
 }
 
-// settleReport decides by a health check whether a report of the process with an id, which has
-// just been received, is believed, if that is not clear. Without a health check it is.
-func (n *Node) settleReport(id string) {
+// settleReport decides by a health check whether a report that has just been received is
+// believed, if that is not clear.
+func (n *Node) settleReport() {
 	asks, awaitsRecall := n.asksUpstream(time.Now())
 	if !asks {
 		return
@@ -80,10 +82,7 @@
 	case !known || awaitsRecall:
 		n.requestSettle()
 	case path == "":
-		n.changeUpstream("report", func(now time.Time, s procs.State) procs.State {
-			round, _ := s.Asks()
-			return s.WithHealth(now, round, id, true)
-		})
+		n.believeReport()
 	default:
 		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 		defer cancel()
@@ -91,6 +90,12 @@
 	}
 }
 
+// believeReport settles which process is at the upstream's address if the service has no health
+// check.
+func (n *Node) believeReport() {
+	n.changeUpstream("report", func(now time.Time, s procs.State) procs.State { return s.WithoutHealthCheck(now) })
+}
+
 // asksUpstream reports whether a health check is to decide which process is at the upstream's
 // address, and whether what is stored has to be read before.
 func (n *Node) asksUpstream(now time.Time) (asks, awaitsRecall bool) {
--- a/proxy/upstream.go
+++ b/proxy/upstream.go
@@ -51,7 +51,7 @@
 	})
 	n.applySlots(status)
 	if !status.Leaving {
-		n.settleReport(status.ID)
+		n.settleReport()
 		n.applySlots(status)
 	}
 	return nil
