--- a/review/field/main.go
+++ b/review/field/main.go
@@ -26,6 +26,7 @@
 
 var cases = map[string]playCase{
 	"length": lengthCase,
+	"memory": memoryCase,
 }
 
 func main() {
