--- a/origin/origin.go
+++ b/origin/origin.go
@@ -187,11 +187,7 @@
 // copyBody streams a body to the sink. The body is complete only if Read returns
 // io.EOF; any other error means that it is truncated.
 func copyBody(body io.Reader, length int64, sink Sink) error {
-	size := int64(chunkSize)
-	if length >= 0 {
-		size = min(size, length+1)
-	}
-	buf := make([]byte, size)
+	buf := make([]byte, bufferSize(length))
 	for {
 		n, err := body.Read(buf)
 		if n > 0 {
@@ -208,6 +204,15 @@
 	}
 }
 
+// bufferSize returns the size of the buffer for a body whose upstream states a length, which
+// may be any number; negative if it states none. A short body and its end are read at once.
+func bufferSize(length int64) int {
+	if length < 0 || length >= chunkSize {
+		return chunkSize
+	}
+	return int(length) + 1
+}
+
 // send writes a request. If no byte of it can be written, there is no answer to wait for.
 func (c *conn) send(req Request) error {
 	err := c.write(req)
