--- a/proxy/bodies.go
+++ b/proxy/bodies.go
@@ -23,6 +23,9 @@
 	bodyWaitShare = 0.25
 	// firstBodyBytes is the memory for a body of unknown length to begin with, in bytes.
 	firstBodyBytes = 16 << 10
+	// mostPrepaidBytes is the longest body for which memory is taken before any of it has
+	// arrived, in bytes. A caller may state any length.
+	mostPrepaidBytes = 64 << 20
 	// announcedBytes is the size from which on a body is announced to the node that gets it,
 	// in bytes. Smaller ones are bounded by how many requests a node takes.
 	announcedBytes = 64 << 10
@@ -95,7 +98,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	others := m.held - s.bytes
-	if m.limit > 0 && others > 0 && (m.held+bytes > m.limit || !m.mayGrow(s, bytes)) {
+	if m.limit > 0 && others > 0 && (bytes > m.limit-m.held || !m.mayGrow(s, bytes)) {
 		return false
 	}
 	if s.bytes == 0 && bytes > 0 {
@@ -207,17 +210,18 @@
 
 // readAll reads a body of length bytes, or of unknown length if that is negative, as memory
 // for it becomes available until a time.
-// It reads at most limit bytes and one more; zero is no limit.
+// It reads at most limit bytes and one more; zero is no limit. A body that is longer than
+// mostPrepaidBytes takes memory as it arrives, like one of unknown length.
 func (n *Node) readAll(ctx context.Context, conn *callerConn, r io.Reader, length, limit int64, until time.Time) ([]byte, *bodyShare, error) {
-	size := length
-	if size < 0 {
+	size, prepaid := length, length >= 0 && length <= mostPrepaidBytes
+	if !prepaid {
 		size = firstBodyBytes
 	}
 	share := n.memoryFor(size).await(ctx, conn, n.bodySeq.Add(1), size, until)
 	if share == nil {
 		return nil, nil, errNoBodyMemory
 	}
-	if length >= 0 {
+	if prepaid {
 		body := make([]byte, length)
 		if _, err := io.ReadFull(r, body); err != nil {
 			share.release()
@@ -254,8 +258,8 @@
 			return nil, nil, err
 		}
 		size *= 2
-		if limit > 0 {
-			size = min(size, limit+1)
+		if limit > 0 && limit < size {
+			size = limit + 1
 		}
 		larger := n.enlarge(ctx, share, size, until)
 		if larger == nil {
@@ -316,14 +320,18 @@
 	if r.ContentLength == 0 {
 		return nil, nil, 0, nil
 	}
-	reader := r.Body
-	if limits.BodyBytes > 0 {
-		if r.ContentLength > limits.BodyBytes {
-			return nil, nil, http.StatusRequestEntityTooLarge, errors.Errorf("request body exceeds the limit: got %d bytes, want at most %d", r.ContentLength, limits.BodyBytes)
+	reader, limit := r.Body, limits.BodyBytes
+	if limit <= 0 {
+		// No node could hold more.
+		limit = n.Settings.MemoryLimit
+	}
+	if limit > 0 {
+		if r.ContentLength > limit {
+			return nil, nil, http.StatusRequestEntityTooLarge, errors.Errorf("request body exceeds the limit: got %d bytes, want at most %d", r.ContentLength, limit)
 		}
-		reader = http.MaxBytesReader(w, r.Body, limits.BodyBytes)
+		reader = http.MaxBytesReader(w, r.Body, limit)
 	}
-	body, share, err := n.readAll(r.Context(), callerConnOf(r.Context()), reader, r.ContentLength, limits.BodyBytes, until)
+	body, share, err := n.readAll(r.Context(), callerConnOf(r.Context()), reader, r.ContentLength, limit, until)
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
