--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -316,7 +316,7 @@
 			a.answer(k.Question)
 		}
 	case *wire.Reply_Declined:
-		return cyclam.Refused(cyclam.Reason(k.Declined.Reason), time.Duration(k.Declined.RetryAfterUs)*time.Microsecond), true
+		return cyclam.Refused(cyclam.Reason(k.Declined.Reason), microseconds(k.Declined.RetryAfterUs)), true
 	case *wire.Reply_Head:
 		r.answer = decodeHead(k.Head)
 	case *wire.Reply_Chunk:
--- a/proxy/clock.go
+++ b/proxy/clock.go
@@ -17,13 +17,13 @@
 	if clock == 0 {
 		return time.Time{}
 	}
-	return n.startTime.Add(time.Duration(clock) * time.Microsecond)
+	return n.startTime.Add(microseconds(clock))
 }
 
 // noteClock applies the reading in a node's own load. The caller holds mu.
 func (m *member) noteClock(l *wire.Load, now time.Time) {
 	if l.GetClockUs() != 0 {
-		m.clock = m.clock.WithStamp(now, time.Duration(l.ClockUs)*time.Microsecond)
+		m.clock = m.clock.WithStamp(now, microseconds(l.ClockUs))
 	}
 }
 
--- a/proxy/freshness.go
+++ b/proxy/freshness.go
@@ -81,7 +81,7 @@
 		return
 	}
 	if n.configHistory.newest().covers(configIDOf(k)) {
-		n.noteFreshness(sent, time.Duration(k.StoreAgeUs)*time.Microsecond)
+		n.noteFreshness(sent, microseconds(k.StoreAgeUs))
 	}
 }
 
--- a/proxy/job.go
+++ b/proxy/job.go
@@ -97,7 +97,7 @@
 		offer:       offer,
 		attempt:     attempt,
 		arrived:     now,
-		deadline:    now.Add(time.Duration(offer.RemainingUs) * time.Microsecond),
+		deadline:    now.Add(microseconds(offer.RemainingUs)),
 		fingerprint: fingerprintOf(offer, offer.GetBody),
 		wake:        make(chan struct{}),
 		readers:     map[*jobCursor]bool{},
--- a/proxy/load.go
+++ b/proxy/load.go
@@ -54,14 +54,14 @@
 		Running:     int(l.GetRunning()),
 		Waiting:     int(l.GetWaiting()),
 		Limit:       int(l.GetLimit()),
-		ServiceTime: time.Duration(l.GetServiceTimeUs()) * time.Microsecond,
+		ServiceTime: microseconds(l.GetServiceTimeUs()),
 		Failing:     float64(l.GetFailing()) / failingUnit,
 		Leaving:     l.GetLeaving(),
 		Version:     cyclam.Version(l.GetVersion()),
-		SendBacklog: time.Duration(l.GetSendingUs()) * time.Microsecond,
+		SendBacklog: microseconds(l.GetSendingUs()),
 		LinkRate:    float64(l.GetLinkKbps()) * linkRateUnit,
 		RateLimit:   decodeRateLimit(l),
-		StartDelay:  time.Duration(l.GetStartDelayUs()) * time.Microsecond,
+		StartDelay:  microseconds(l.GetStartDelayUs()),
 		Slowdown:    float64(l.GetSlowdown()) / slowdownUnit,
 	}
 }
@@ -169,7 +169,7 @@
 			continue
 		}
 		m.noteClock(r.GetLoad(), now)
-		at := now.Add(-max(0, time.Duration(r.GetAgeUs())*time.Microsecond))
+		at := now.Add(-max(0, microseconds(r.GetAgeUs())))
 		if at.After(m.view.LoadAt) {
 			m.view = m.view.WithLoad(at, decodeLoad(r.GetLoad()))
 			if m.view.Load.Leaving {
--- a/proxy/notice.go
+++ b/proxy/notice.go
@@ -85,7 +85,7 @@
 		t.startedAt = time.UnixMilli(w.StartedMs)
 	}
 	if w.GetLeaving() {
-		t.leavingSince = at.Add(-max(0, time.Duration(w.LeavingUs)*time.Microsecond))
+		t.leavingSince = at.Add(-max(0, microseconds(w.LeavingUs)))
 	}
 	return t
 }
--- /dev/null
+++ b/proxy/span_test.go
@@ -0,0 +1,67 @@
+package proxy
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/wire"
+)
+
+// A duration of a message that is beyond the range of durations must not turn into one of
+// the other sign.
+func TestSpansOfMessages(t *testing.T) {
+	for us, want := range map[int64]time.Duration{
+		0:                  0,
+		1:                  time.Microsecond,
+		-1:                 -time.Microsecond,
+		math.MaxInt64:      maxSpan,
+		math.MaxInt64 / 2:  maxSpan,
+		math.MaxInt64 / 3:  maxSpan,
+		math.MinInt64:      -maxSpan,
+		math.MinInt64 + 1:  -maxSpan,
+		math.MinInt64 / 17: -maxSpan,
+	} {
+		if got := microseconds(us); got != want {
+			t.Errorf("%d: got %v, want %v", us, got, want)
+		}
+	}
+	if got := microseconds(uint64(math.MaxUint64)); got != maxSpan {
+		t.Errorf("largest reading of a clock: got %v, want %v", got, maxSpan)
+	}
+}
+
+// A load whose stated age is beyond all durations must not count as a new one.
+func TestAgeBeyondAllDurations(t *testing.T) {
+	n := &Node{}
+	n.fleet = newFleet(cyclam.Endpoint{})
+	other := cyclam.Identity{
+		Instance:    "other",
+		Incarnation: 1,
+	}
+	n.fleet.addFromPeer(cyclam.Endpoint{
+		Identity: other,
+		Service:  "stock",
+		State:    cyclam.EndpointReady,
+	}, time.Now())
+	report := func(waiting uint32, age int64) {
+		n.mergeLoads([]*wire.NodeLoad{
+			{
+				Instance: string(other.Instance),
+				Load: &wire.Load{
+					Incarnation: uint64(other.Incarnation),
+					Waiting:     waiting,
+				},
+				AgeUs: age,
+			},
+		})
+	}
+	report(1, 0)
+	for _, age := range []int64{math.MaxInt64, math.MaxInt64 / 3, math.MaxInt64 / 1000 * 3} {
+		report(2, age)
+		if got, want := n.fleet.members[other.Instance].view.Load.Waiting, 1; got != want {
+			t.Errorf("waiting after a load of age %d us: got %d, want %d", age, got, want)
+		}
+	}
+}
