--- a/proxy/load.go
+++ b/proxy/load.go
@@ -14,6 +14,9 @@
 // failingUnit converts the share of failed answers to the wire's thousandths.
 const failingUnit = 1000
 
+// maxSlowdown bounds the slowdown in a load, so that times by it stay in the range of a duration.
+const maxSlowdown = 10_000
+
 // slowdownUnit converts the slowdown to the wire's hundredths.
 const slowdownUnit = 100
 
@@ -62,7 +65,7 @@
 		LinkRate:    float64(l.GetLinkKbps()) * linkRateUnit,
 		RateLimit:   decodeRateLimit(l),
 		StartDelay:  microseconds(l.GetStartDelayUs()),
-		Slowdown:    float64(l.GetSlowdown()) / slowdownUnit,
+		Slowdown:    min(float64(l.GetSlowdown())/slowdownUnit, maxSlowdown),
 	}
 }
 
--- a/proxy/span_test.go
+++ b/proxy/span_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/picker"
 	"github.com/cyclamensaddle/cyclam/wire"
 )
 
@@ -65,3 +66,19 @@
 		}
 	}
 }
+
+// Times by the largest slowdown that a message can carry must stay in the range of durations.
+func TestLargestSlowdown(t *testing.T) {
+	load := decodeLoad(&wire.Load{
+		Limit:         1,
+		ServiceTimeUs: math.MaxUint32,
+		Slowdown:      math.MaxUint32,
+	})
+	got := (picker.Tuning{}).ExpectedLatency(time.Now(), picker.Candidate{
+		Load:   load,
+		LoadAt: time.Now(),
+	})
+	if got <= 0 {
+		t.Errorf("expected latency: got %v, want a long one", got)
+	}
+}
