--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
@@ -28,6 +29,13 @@
 	ArrivalRate float64
 }
 
+// isFinite reports whether a balance can be counted with: one infinite sum, or one that is no
+// number, would stay for good.
+func (b Balance) isFinite() bool {
+	sum := math.Abs(b.Amount) + math.Abs(b.ArrivalRate)
+	return !math.IsInf(sum, 1) && !math.IsNaN(sum)
+}
+
 // Ledger holds the accounts of all teams at one instance. It is not safe for concurrent use.
 type Ledger struct {
 	Tuning Tuning
--- a/quota/relay.go
+++ b/quota/relay.go
@@ -207,7 +207,7 @@
 	}
 	l.warmUp()
 	for team, balance := range balances {
-		if account, ok := l.accounts[team]; ok {
+		if account, ok := l.accounts[team]; ok && balance.isFinite() {
 			l.accounts[team] = account.WithBalance(now, balance, since[team].Admitted)
 		}
 	}
@@ -293,7 +293,7 @@
 func (l *Ledger) Coverage() float64 { return l.coverage }
 
 func (l *Ledger) setCoverage(now time.Time, fraction float64) {
-	if fraction == l.coverage {
+	if fraction == l.coverage || !(fraction >= 0 && fraction <= 1) {
 		return
 	}
 	l.coverage = fraction
