--- a/node/calls.go
+++ b/node/calls.go
@@ -167,8 +167,8 @@
 	completion := cyclam.Completion{
 		Reason: cyclam.Reason(resp.Header.Peek(headerReason)),
 	}
-	if millis, err := strconv.Atoi(string(resp.Header.Peek(headerRetryAfterMs))); err == nil {
-		completion.RetryAfter = time.Duration(millis) * time.Millisecond
+	if millis, err := strconv.ParseInt(string(resp.Header.Peek(headerRetryAfterMs)), 10, 64); err == nil {
+		completion.RetryAfter = cyclam.Span(millis, time.Millisecond)
 	}
 	switch string(resp.Header.Peek(headerOutcome)) {
 	case cyclam.OutcomeDone.String():
--- a/node/work.go
+++ b/node/work.go
@@ -36,7 +36,7 @@
 		Target:   parseIdentity(string(header.Peek(headerTarget))),
 		Service:  cyclam.ServiceName(header.Peek(headerService)),
 		Key:      string(header.Peek(headerForwardedKey)),
-		Deadline: now.Add(min(time.Duration(remaining)*time.Microsecond, maxRemaining)),
+		Deadline: now.Add(min(cyclam.Span(remaining, time.Microsecond), maxRemaining)),
 	})
 	span.End(attribute.String("outcome", completion.Outcome.String()))
 	writeAnswer(ctx, completion)
@@ -127,9 +127,9 @@
 
 // retryAfter returns the Retry-After time of a response, 1 s if it has none.
 func retryAfter(resp *fasthttp.Response) time.Duration {
-	seconds, err := strconv.Atoi(string(resp.Header.Peek(headerRetryAfter)))
+	seconds, err := strconv.ParseInt(string(resp.Header.Peek(headerRetryAfter)), 10, 64)
 	if err != nil || seconds < 0 {
 		return time.Second
 	}
-	return time.Duration(seconds) * time.Second
+	return cyclam.Span(seconds, time.Second)
 }
--- a/origin/conn.go
+++ b/origin/conn.go
@@ -234,9 +234,9 @@
 func parseKeepAlive(header http.Header) time.Duration {
 	for part := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
-		seconds, err := strconv.Atoi(strings.TrimSpace(value))
+		seconds, err := strconv.ParseInt(strings.TrimSpace(value), 10, 64)
 		if strings.EqualFold(name, "timeout") && err == nil && seconds >= 0 {
-			return time.Duration(idleTimeoutShare * float64(time.Duration(seconds)*time.Second))
+			return time.Duration(idleTimeoutShare * float64(cyclam.Span(seconds, time.Second)))
 		}
 	}
 	return defaultIdleTimeout
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -226,11 +226,12 @@
 
 func TestParseKeepAlive(t *testing.T) {
 	for text, want := range map[string]time.Duration{
-		"":                  defaultIdleTimeout,
-		"timeout=10":        7 * time.Second,
-		"max=5, timeout=10": 7 * time.Second,
-		"timeout=soon":      defaultIdleTimeout,
-		"timeout=0":         0,
+		"":                            defaultIdleTimeout,
+		"timeout=10":                  7 * time.Second,
+		"max=5, timeout=10":           7 * time.Second,
+		"timeout=soon":                defaultIdleTimeout,
+		"timeout=0":                   0,
+		"timeout=9223372036854775807": time.Duration(idleTimeoutShare * float64(cyclam.MaxSpan)),
 	} {
 		if got := parseKeepAlive(http.Header{"Keep-Alive": {text}}); got != want {
 			t.Errorf("%q: got %v, want %v", text, got, want)
--- a/proxy/clock.go
+++ b/proxy/clock.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"math"
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
@@ -17,13 +18,18 @@
 	if clock == 0 {
 		return time.Time{}
 	}
-	return n.startTime.Add(microseconds(clock))
+	return n.startTime.Add(reading(clock))
+}
+
+// reading returns the time that a steady clock's reading states.
+func reading(clock uint64) time.Duration {
+	return microseconds(int64(min(clock, math.MaxInt64)))
 }
 
 // noteClock applies the reading in a node's own load. The caller holds mu.
 func (m *member) noteClock(l *wire.Load, now time.Time) {
 	if l.GetClockUs() != 0 {
-		m.clock = m.clock.WithStamp(now, microseconds(l.ClockUs))
+		m.clock = m.clock.WithStamp(now, reading(l.ClockUs))
 	}
 }
 
--- a/proxy/load.go
+++ b/proxy/load.go
@@ -57,14 +57,14 @@
 		Running:     int(l.GetRunning()),
 		Waiting:     int(l.GetWaiting()),
 		Limit:       int(l.GetLimit()),
-		ServiceTime: microseconds(l.GetServiceTimeUs()),
+		ServiceTime: microseconds(int64(l.GetServiceTimeUs())),
 		Failing:     float64(l.GetFailing()) / failingUnit,
 		Leaving:     l.GetLeaving(),
 		Version:     cyclam.Version(l.GetVersion()),
-		SendBacklog: microseconds(l.GetSendingUs()),
+		SendBacklog: microseconds(int64(l.GetSendingUs())),
 		LinkRate:    float64(l.GetLinkKbps()) * linkRateUnit,
 		RateLimit:   decodeRateLimit(l),
-		StartDelay:  microseconds(l.GetStartDelayUs()),
+		StartDelay:  microseconds(int64(l.GetStartDelayUs())),
 		Slowdown:    min(float64(l.GetSlowdown())/slowdownUnit, maxSlowdown),
 	}
 }
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -135,18 +135,8 @@
 	return j, nil
 }
 
-// maxSpan bounds the durations in messages. Times that are shifted by it stay in the range of
-// a duration.
-const maxSpan = 10 * 365 * 24 * time.Hour
-
-// microseconds returns a duration of a message, at most maxSpan in either direction.
-func microseconds[N int64 | uint32 | uint64](us N) time.Duration {
-	const most = int64(maxSpan / time.Microsecond)
-	if us > 0 && uint64(us) > uint64(most) {
-		return maxSpan
-	}
-	return time.Duration(max(-most, int64(us))) * time.Microsecond
-}
+// microseconds returns a duration of a message, at most cyclam.MaxSpan in either direction.
+func microseconds(us int64) time.Duration { return cyclam.Span(us, time.Microsecond) }
 
 // isRunning reports whether the local upstream is running a request with this id.
 func (n *Node) isRunning(id string) bool {
