--- a/node/clients.go
+++ b/node/clients.go
@@ -9,6 +9,7 @@
 
 	cyclam "github.com/cyclamensaddle/cyclam"
 	"github.com/cyclamensaddle/cyclam/codec"
+	"github.com/cyclamensaddle/cyclam/frame"
 	"github.com/cyclamensaddle/cyclam/setup"
 	"github.com/cyclamensaddle/cyclam/wire"
 	"github.com/pkg/errors"
@@ -87,7 +88,7 @@
 					err: err,
 				}
 			}
-			return conn, nil
+			return frame.NewConn(conn), nil
 		},
 	}
 }
--- a/origin/answer.go
+++ b/origin/answer.go
@@ -142,12 +142,14 @@
 		return Head{}, true, ErrUnsigned
 	}
 	r.conn.idleTimeout = parseKeepAlive(resp.Header)
+	ends := delimitedByClose(resp)
 	return Head{
-		Status:     resp.StatusCode,
-		Header:     resp.Header,
-		Length:     resp.ContentLength,
-		Meta:       meta,
-		closesConn: resp.Close || delimitedByClose(resp) || anonymous,
+		Status:       resp.StatusCode,
+		Header:       resp.Header,
+		Length:       resp.ContentLength,
+		Meta:         meta,
+		closesConn:   resp.Close || ends || anonymous,
+		endsWithConn: ends,
 	}, true, nil
 }
 
--- a/origin/conn.go
+++ b/origin/conn.go
@@ -12,12 +12,13 @@
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/frame"
 	"github.com/pkg/errors"
 )
 
 // conn is one HTTP/1.1 connection to the upstream.
 type conn struct {
-	net.Conn
+	*frame.Conn
 
 	reader *bufio.Reader
 	// returned holds bytes that were read and are to be read again.
@@ -162,7 +163,7 @@
 		return nil, err
 	}
 	c := &conn{
-		Conn:        raw,
+		Conn:        frame.NewConn(raw),
 		readable:    unbounded,
 		idleTimeout: defaultIdleTimeout,
 	}
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -50,8 +50,10 @@
 	// before the answer.
 	Skipped int
 
-	// closesConn is set if the connection can't be reused after this answer.
-	closesConn bool
+	// closesConn is set if the connection can't be reused after this answer, endsWithConn if
+	// the body ends where the connection does.
+	closesConn   bool
+	endsWithConn bool
 }
 
 // Sink receives an answer: the head once, then the body in chunks. An error from
@@ -169,19 +171,26 @@
 		return false, err
 	}
 	err = copyBody(body, head.Length, sink)
-	reusable := false
+	writeErr := c.endWrite(sent)
+	if err == nil && head.endsWithConn {
+		err = c.Broken()
+	}
+	keep := writeErr == nil && err == nil && !head.closesConn && c.pending() == 0
+	return keep, err
+}
+
+// endWrite waits until the request has been written and returns the error of that. An upstream
+// may answer before it has read the whole request, and then has writeGrace to read the rest.
+// After that the connection can't be used again, so that the rest is not parsed as the next
+// request.
+func (c *conn) endWrite(sent <-chan error) error {
 	select {
-	case writeErr := <-sent:
-		reusable = writeErr == nil
+	case err := <-sent:
+		return err
 	case <-time.After(writeGrace):
-		// The upstream answered before it read the whole request. The connection
-		// is closed, so that the rest of this request is not parsed as the next
-		// one.
 		c.abort()
-		<-sent
+		return <-sent
 	}
-	keep := reusable && err == nil && !head.closesConn && c.pending() == 0
-	return keep, err
 }
 
 // copyBody streams a body to the sink. The body is complete only if Read returns
