--- a/origin/answer.go
+++ b/origin/answer.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 
+	"github.com/cyclamensaddle/cyclam/frame"
 	"github.com/pkg/errors"
 )
 
@@ -103,12 +104,16 @@
 		if inner && (skipped > 0 || r.conn.reused) && mentions(text, r.req.ID) {
 			return Head{}, nil, illegible(text)
 		}
-		if isInterim(text) {
+		err = frame.CheckHead(text)
+		if err == nil && isInterim(text) {
 			continue
 		}
-		resp, err := r.parse(text)
+		var resp *http.Response
+		if err == nil {
+			resp, err = r.parse(text)
+		}
 		if err != nil && mentions(text, r.req.ID) {
-			return Head{}, nil, illegible(text)
+			return Head{}, nil, errors.WithMessage(illegible(text), err.Error())
 		}
 		if err != nil {
 			r.unframed = true
