--- a/frame/head.go
+++ b/frame/head.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrNoHead means that bytes with the form of a head, from a status line to an empty line, are
@@ -16,19 +18,38 @@
 // empty line, and otherwise an error that wraps ErrNoHead. The head may be that of an interim
 // answer, except 101: nobody asks an upstream for another protocol.
 func CheckHead(text []byte) error {
-	line, _, _ := bytes.Cut(text, []byte("\n"))
-	return checkStatusLine(line)
+	line, rest := cutLine(text)
+	if err := checkStatusLine(line); err != nil {
+		return err
+	}
+	for first := true; ; first = false {
+		if line, rest = cutLine(rest); line == "" {
+			return nil
+		}
+		if err := checkLine(line, first); err != nil {
+			return err
+		}
+	}
 }
 
-// statusAt is the index of the status in a status line.
-const statusAt = len("HTTP/1.1 ")
+// cutLine returns the first line of a text without its end, and what follows it.
+func cutLine(text []byte) (string, []byte) {
+	line, rest, _ := bytes.Cut(text, []byte("\n"))
+	return string(bytes.TrimSuffix(line, []byte("\r"))), rest
+}
+
+// statusAt is the index of the status in a status line, and statusDigits its length.
+const (
+	statusAt     = len("HTTP/1.1 ")
+	statusDigits = 3
+)
 
 // checkStatusLine checks the first line of a head.
-func checkStatusLine(line []byte) error {
-	if len(line) < statusAt+3 {
+func checkStatusLine(line string) error {
+	if len(line) < statusAt+statusDigits || !httpguts.ValidHeaderFieldValue(line) {
 		return errors.Wrapf(ErrNoHead, "status line %q", line)
 	}
-	status, err := strconv.Atoi(string(line[statusAt : statusAt+3]))
+	status, err := strconv.Atoi(line[statusAt : statusAt+statusDigits])
 	if err != nil {
 		return errors.Wrapf(ErrNoHead, "status line %q", line)
 	}
@@ -47,3 +68,24 @@
 	}
 	return nil
 }
+
+// checkLine checks a line that holds a field, or, unless it is the first one, continues the field
+// before it.
+func checkLine(line string, first bool) error {
+	if !first && strings.ContainsRune(" \t", rune(line[0])) {
+		return checkField("continued", line)
+	}
+	name, value, ok := strings.Cut(line, ":")
+	if !ok {
+		return errors.Wrapf(ErrNoHead, "field %q", line)
+	}
+	return checkField(name, value)
+}
+
+// checkField checks the name of a field and its value, which may be surrounded by blanks.
+func checkField(name, value string) error {
+	if !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
+		return errors.Wrapf(ErrNoHead, "field %q", name)
+	}
+	return nil
+}
--- a/proxy/oddhead_test.go
+++ b/proxy/oddhead_test.go
@@ -46,3 +46,25 @@
 	}
 }
 
+// A field whose name holds a blank or a control byte must not cost the caller the framing of the
+// body, nor be passed on.
+func TestFieldNameThatIsNone(t *testing.T) {
+	for _, field := range []string{
+		"Content-Length : 4",
+		"Transfer-Encoding : chunked",
+		"X Odd: 1",
+		"X\x01Odd: 1",
+	} {
+		t.Run(field, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, nodes, _ := startOddCluster(t, "HTTP/1.1 200 OK", field+"\r\n", "4\r\ngood\r\n0\r\n\r\n")
+				for _, n := range nodes {
+					got, body, _, err := s.request(t.Context(), n, http.MethodPost, "/book/x", time.Second)
+					if err != nil || got != http.StatusBadGateway {
+						t.Errorf("at %s: got %d %q, %v, want %d", n.Settings.Self.Instance, got, body, err, http.StatusBadGateway)
+					}
+				}
+			})
+		})
+	}
+}
