--- a/frame/head.go
+++ b/frame/head.go
@@ -16,20 +16,31 @@
 
 // CheckHead returns nil if text is the head of an HTTP/1.1 answer, from its status line to its
 // empty line, and otherwise an error that wraps ErrNoHead. The head may be that of an interim
-// answer, except 101: nobody asks an upstream for another protocol.
+// answer, except 101: nobody asks an upstream for another protocol. A body in chunks has neither a
+// length nor HTTP/1.0, in which it would end in another place; the values of the fields that
+// frame a body are left to the parser.
 func CheckHead(text []byte) error {
-	line, rest := cutLine(text)
-	if err := checkStatusLine(line); err != nil {
+	statusLine, rest := cutLine(text)
+	if err := checkStatusLine(statusLine); err != nil {
 		return err
 	}
+	chunked, length := false, false
 	for first := true; ; first = false {
+		var line string
 		if line, rest = cutLine(rest); line == "" {
-			return nil
+			break
 		}
-		if err := checkLine(line, first); err != nil {
+		name, err := checkLine(line, first)
+		if err != nil {
 			return err
 		}
+		chunked = chunked || strings.EqualFold(name, "Transfer-Encoding")
+		length = length || strings.EqualFold(name, "Content-Length")
 	}
+	if chunked && (length || strings.HasPrefix(statusLine, "HTTP/1.0")) {
+		return errors.Wrap(ErrNoHead, "two framings")
+	}
+	return nil
 }
 
 // cutLine returns the first line of a text without its end, and what follows it.
@@ -69,17 +80,17 @@
 	return nil
 }
 
-// checkLine checks a line that holds a field, or, unless it is the first one, continues the field
-// before it.
-func checkLine(line string, first bool) error {
+// checkLine checks a line that holds a field and returns the field's name. Unless it is the first
+// one, a line may continue the field before it; its name is empty then.
+func checkLine(line string, first bool) (string, error) {
 	if !first && strings.ContainsRune(" \t", rune(line[0])) {
-		return checkField("continued", line)
+		return "", checkField("continued", line)
 	}
 	name, value, ok := strings.Cut(line, ":")
 	if !ok {
-		return errors.Wrapf(ErrNoHead, "field %q", line)
+		return "", errors.Wrapf(ErrNoHead, "field %q", line)
 	}
-	return checkField(name, value)
+	return name, checkField(name, value)
 }
 
 // checkField checks the name of a field and its value, which may be surrounded by blanks.
--- a/origin/head_test.go
+++ b/origin/head_test.go
@@ -121,3 +121,31 @@
 		t.Errorf("lines that end with a line feed: got %q, want the answer", out.body.String())
 	}
 }
+
+// An answer whose framing can be read in two ways must not be read in one of them: the bytes that
+// the other way leaves would be a part of it, or of the next one.
+func TestAmbiguousFraming(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding:\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 4, 4\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: +4\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 0x4\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length:\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n 5\r\n",
+		"HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+		"HTTP/1.1 304 Not Modified\r\nContent-Length: four\r\n",
+	} {
+		s := newScriptedUpstream(t, head+"X-Id: $ID\r\nX-Signed: 1\r\n\r\n4\r\ngood\r\n0\r\n\r\n")
+		out, err := do(t, newPool(s.address), "id")
+		if !errors.Is(err, ErrIllegible) {
+			t.Errorf("%q: got %d %q, %v, want %v", head, out.head.Status, out.body.String(), err, ErrIllegible)
+		}
+	}
+}
