--- a/origin/answer.go
+++ b/origin/answer.go
@@ -60,7 +60,8 @@
 // the request's answer or of a copy. All other answers are skipped by their framing, and
 // their bodies are not searched; bytes that are no answer are searched for the next status
 // line. Once the id has been seen in bytes that are no answer, the request has been
-// answered illegibly, and what looks like its answer later may be part of a body.
+// answered illegibly, and what looks like its answer later may be part of a body. A request
+// without an id, such as a health check, gets the first answer on its connection.
 type answerReader struct {
 	pool *Pool
 	conn *conn
@@ -112,7 +113,7 @@
 		if err == nil {
 			resp, err = r.parse(text)
 		}
-		if err != nil && mentions(text, r.req.ID) {
+		if err != nil && r.concerns(text) {
 			return Head{}, nil, errors.WithMessage(illegible(text), err.Error())
 		}
 		if err != nil {
@@ -221,7 +222,7 @@
 		}
 		if len(stray) > 0 {
 			r.unframed = true
-			if r.idInBody || mentions(stray, r.req.ID) {
+			if r.idInBody || r.concerns(stray) {
 				return nil, skipped, illegible(stray)
 			}
 		}
@@ -262,6 +263,12 @@
 	return resp, nil
 }
 
+// concerns reports whether bytes that are no answer are taken for an illegible answer to the
+// request: they hold its id. A request without an id has its connection to itself.
+func (r *answerReader) concerns(text []byte) bool {
+	return r.req.ID == "" || mentions(text, r.req.ID)
+}
+
 // readLine appends the next line with its end to begun, and reports whether it is whole:
 // a line is cut after maxHeadBytes.
 func (c *conn) readLine(begun []byte) ([]byte, bool, error) {
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -24,6 +24,7 @@
 
 // Request is one request as it is sent to the upstream.
 type Request struct {
+	// ID is the request's id; empty if it has none, and then its answer needs no signature.
 	ID     string
 	Method string
 	Host   string
--- a/proxy/health.go
+++ b/proxy/health.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
-	"io"
-	"net"
 	"net/http"
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/origin"
 	"github.com/cyclamensaddle/cyclam/procs"
 	"github.com/pkg/errors"
 )
@@ -18,7 +17,7 @@
 	// reportTimeout bounds the health check that decides whether a report is believed. The
 	// report is to be acknowledged within a second.
 	reportTimeout = 500 * time.Millisecond
-	// healthAnswerLimit bounds the head and the body of its answer each, in bytes.
+	// healthAnswerLimit bounds what is read of the body of its answer, in bytes.
 	healthAnswerLimit = 64 << 10
 	// settleInterval is the pause between health checks while it is not clear which process
 	// is at the upstream's address.
@@ -156,26 +155,44 @@
 func (n *Node) checkHealth(ctx context.Context, path string) (health, error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	transport := &http.Transport{
-		DialContext:            func(ctx context.Context, _, address string) (net.Conn, error) { return n.Dial(ctx, address) },
-		DisableKeepAlives:      true,
-		MaxResponseHeaderBytes: healthAnswerLimit,
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.Settings.Upstream+path, nil)
-	if err != nil {
-		return health{}, errors.Wrap(err, "create health check request")
-	}
-	resp, err := transport.RoundTrip(req)
-	if err != nil {
-		return health{}, cyclam.AtStep("health check", n.Settings.Upstream, err)
-	}
-	defer resp.Body.Close()
-	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, healthAnswerLimit)); err != nil {
+	answer := &healthSink{}
+	err := n.origin.Do(ctx, origin.Request{
+		Method: http.MethodGet,
+		Host:   n.Settings.Upstream,
+		Target: path,
+		Header: http.Header{
+			"Connection": {"close"},
+		},
+	}, answer)
+	if err != nil && !errors.Is(err, errLongHealth) {
 		return health{}, cyclam.AtStep("health check", n.Settings.Upstream, err)
 	}
 	return health{
-		id:      n.Dialect.ParseInstance(resp.Header),
-		healthy: resp.StatusCode == http.StatusOK,
-		meta:    n.Dialect.ParseAnswer(resp.StatusCode, resp.Header),
+		id:      n.Dialect.ParseInstance(answer.head.Header),
+		healthy: answer.head.Status == http.StatusOK,
+		meta:    answer.head.Meta,
 	}, nil
 }
+
+// healthSink receives the answer to a health check.
+type healthSink struct {
+	head  origin.Head
+	bytes int
+}
+
+// errLongHealth ends the reading of a body of which enough has arrived.
+var errLongHealth = errors.New("answer to the health check exceeds its limit")
+
+// Head keeps the head.
+func (s *healthSink) Head(h origin.Head) error {
+	s.head = h
+	return nil
+}
+
+// Chunk counts a piece of the body.
+func (s *healthSink) Chunk(data []byte) error {
+	if s.bytes += len(data); s.bytes >= healthAnswerLimit {
+		return errLongHealth
+	}
+	return nil
+}
