--- a/frame/head.go
+++ b/frame/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"iter"
 	"net/http"
 	"strconv"
 	"strings"
@@ -100,3 +101,30 @@
 	}
 	return nil
 }
+
+// CheckFields returns nil if a head that another reader has parsed may be that of an answer, and
+// otherwise an error that wraps ErrNoHead. The framing can't be told from it any more.
+func CheckFields[V ~string | ~[]byte](status int, fields iter.Seq2[string, V]) error {
+	if err := checkStatus(status); err != nil {
+		return err
+	}
+	for name, value := range fields {
+		if err := checkField(name, string(value)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Fields returns the fields of a header, each value with its name.
+func Fields(header http.Header) iter.Seq2[string, string] {
+	return func(yield func(string, string) bool) {
+		for name, values := range header {
+			for _, value := range values {
+				if !yield(name, value) {
+					return
+				}
+			}
+		}
+	}
+}
