--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"io"
+	"iter"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
 	"github.com/cyclamensaddle/cyclam/codec"
+	"github.com/cyclamensaddle/cyclam/frame"
 	"github.com/cyclamensaddle/cyclam/picker"
 	"github.com/cyclamensaddle/cyclam/wire"
 	"github.com/pkg/errors"
@@ -319,6 +321,10 @@
 		return cyclam.Refused(cyclam.Reason(k.Declined.Reason), microseconds(k.Declined.RetryAfterUs)), true
 	case *wire.Reply_Head:
 		r.answer = decodeHead(k.Head)
+		if err := frame.CheckFields(r.answer.Status, headerFields(r.answer.Headers)); err != nil {
+			a.node.Log.Warn("head-malformed", append(a.logFields(), "error", err)...)
+			return unknown(cyclam.ReasonAnswerLost), true
+		}
 	case *wire.Reply_Chunk:
 		r.answer.Body = append(r.answer.Body, k.Chunk...)
 		a.held.add(len(k.Chunk))
@@ -348,6 +354,17 @@
 	return answer
 }
 
+// headerFields returns the names and values of header fields.
+func headerFields(headers []cyclam.Header) iter.Seq2[string, string] {
+	return func(yield func(string, string) bool) {
+		for _, h := range headers {
+			if !yield(h.Name, h.Value) {
+				return
+			}
+		}
+	}
+}
+
 func doneWith(answer cyclam.Answer) cyclam.Completion {
 	return cyclam.Completion{
 		Outcome: cyclam.OutcomeDone,
--- a/proxy/oddhead_test.go
+++ b/proxy/oddhead_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/wire"
 )
 
 // startOddCluster starts a node beside an upstream that answers with a head as given, after the
@@ -68,3 +72,58 @@
 		})
 	}
 }
+
+// A head that another node passes on must be checked like one of the upstream: a node of an older
+// build does not check it.
+func TestHeadOfAnotherNode(t *testing.T) {
+	field := func(name, value string) []*wire.Field {
+		return []*wire.Field{
+			{
+				Name:  name,
+				Value: []byte(value),
+			},
+		}
+	}
+	for name, c := range map[string]struct {
+		head *wire.Head
+		want cyclam.Outcome
+	}{
+		"an answer":                {head: &wire.Head{Status: 200, Headers: field("X-Odd", "a b")}, want: cyclam.OutcomeDone},
+		"no status":                {head: &wire.Head{}, want: cyclam.OutcomeUnknown},
+		"status of one":            {head: &wire.Head{Status: 1}, want: cyclam.OutcomeUnknown},
+		"interim status":           {head: &wire.Head{Status: 101}, want: cyclam.OutcomeUnknown},
+		"status beyond all":        {head: &wire.Head{Status: 600}, want: cyclam.OutcomeUnknown},
+		"largest status":           {head: &wire.Head{Status: math.MaxUint32}, want: cyclam.OutcomeUnknown},
+		"blank in a name":          {head: &wire.Head{Status: 200, Headers: field("Content-Length ", "4")}, want: cyclam.OutcomeUnknown},
+		"no name":                  {head: &wire.Head{Status: 200, Headers: field("", "4")}, want: cyclam.OutcomeUnknown},
+		"control byte in a name":   {head: &wire.Head{Status: 200, Headers: field("X\x01Odd", "4")}, want: cyclam.OutcomeUnknown},
+		"control byte in a value":  {head: &wire.Head{Status: 200, Headers: field("X-Odd", "a\r\nX-Other: b")}, want: cyclam.OutcomeUnknown},
+		"largest length, no bytes": {head: &wire.Head{Status: 200, Length: math.MaxInt64}, want: cyclam.OutcomeDone},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestCluster(t)
+			n := s.node("front", nil, nil)
+			n.prepare()
+			a := &attempt{
+				node:  n,
+				offer: &wire.Offer{},
+				held: &heldAnswers{
+					memory: &n.answers,
+				},
+			}
+			got, _, err := a.collect(t.Context(), &messageReader{
+				messages: []*wire.Replies{
+					{
+						Replies: []*wire.Reply{
+							{Kind: &wire.Reply_Head{Head: c.head}},
+							ended(""),
+						},
+					},
+				},
+			}, nil)
+			if err != nil || got.Outcome != c.want {
+				t.Errorf("got %v, %v, want %v", got.Outcome, err, c.want)
+			}
+		})
+	}
+}
