--- a/frame/head.go
+++ b/frame/head.go
@@ -50,6 +50,13 @@
 	return string(bytes.TrimSuffix(line, []byte("\r"))), rest
 }
 
+// MaxHeadBytes bounds the head of an answer: an upstream in trouble may write one without end.
+const MaxHeadBytes = 64 << 10
+
+// IsInterim reports whether a head that CheckHead has accepted is that of an interim (1xx) answer,
+// which has no body and precedes the answer.
+func IsInterim(head []byte) bool { return head[statusAt] == '1' }
+
 // statusAt is the index of the status in a status line, and statusDigits its length.
 const (
 	statusAt     = len("HTTP/1.1 ")
--- a/node/clients.go
+++ b/node/clients.go
@@ -88,7 +88,7 @@
 					err: err,
 				}
 			}
-			return frame.NewConn(conn), nil
+			return frame.NewHeadConn(conn), nil
 		},
 	}
 }
--- a/origin/answer.go
+++ b/origin/answer.go
@@ -13,7 +13,7 @@
 const (
 	// maxHeadBytes bounds the head of an answer, maxSkippedBytes what is skipped before
 	// it: an upstream in trouble may write either without end.
-	maxHeadBytes    = 64 << 10
+	maxHeadBytes    = frame.MaxHeadBytes
 	maxSkippedBytes = 1 << 20
 	// maxSkippedAnswers bounds the answers to other requests that are skipped: each takes
 	// some microseconds to parse, however short it is.
@@ -106,7 +106,7 @@
 			return Head{}, nil, illegible(text)
 		}
 		err = frame.CheckHead(text)
-		if err == nil && isInterim(text) {
+		if err == nil && frame.IsInterim(text) {
 			continue
 		}
 		var resp *http.Response
@@ -310,9 +310,6 @@
 	return b >= '0' && b <= '9' || b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || b == '.' || b == '-' || b == '_'
 }
 
-// isInterim reports whether a head is that of an interim (1xx) answer, which has no body.
-func isInterim(head []byte) bool { return head[len("HTTP/1.1 ")] == '1' }
-
 // illegible returns ErrIllegible with the first line of what was received.
 func illegible(text []byte) error {
 	const most = 80
--- a/store/store.go
+++ b/store/store.go
@@ -7,12 +7,14 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/url"
 	"strconv"
 	"strings"
 	"time"
 
 	cyclam "github.com/cyclamensaddle/cyclam"
+	"github.com/cyclamensaddle/cyclam/frame"
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 )
@@ -46,6 +48,7 @@
 		Address: address,
 		Timeout: DefaultTimeout,
 		client: fasthttp.Client{
+			Dial:                     dial,
 			MaxResponseBodySize:      responseLimit,
 			MaxIdleConnDuration:      time.Minute,
 			NoDefaultUserAgentHeader: true,
@@ -54,6 +57,15 @@
 	}
 }
 
+// dial opens a connection that checks the heads of answers.
+func dial(address string) (net.Conn, error) {
+	conn, err := fasthttp.Dial(address)
+	if err != nil {
+		return nil, err
+	}
+	return frame.NewHeadConn(conn), nil
+}
+
 func neverRetry(*fasthttp.Request, int, error) (bool, bool) { return false, false }
 
 // Get returns the object with the given key, or cyclam.ErrNotFound.
