--- a/picker/pick.go
+++ b/picker/pick.go
@@ -15,6 +15,9 @@
 	From cyclam.Locality
 	// Bytes is the expected size of the request and its answer together.
 	Bytes int
+	// Body is the size of a body that waits until the node of the upstream has room for it on
+	// its link; zero if there is none.
+	Body int
 	// TargetLatency is that of the route, Goal when the answer is wanted, and Deadline when
 	// it is of no use any more. Zero values set no bounds.
 	TargetLatency time.Duration
@@ -80,7 +83,7 @@
 		c := candidates[i]
 		o := offer{
 			index:    i,
-			expected: t.ExpectedLatency(now, c) + c.transferTime(r),
+			expected: t.ExpectedLatency(now, c) + c.transferTime(r) + c.bodyWait(now, r),
 			crossing: t.Prices.Crossing(r.From, c.Endpoint.Locality, r.Bytes),
 		}
 		o.cost = place.Loss(o.expected, r.TargetLatency) + o.crossing
@@ -135,7 +138,11 @@
 	if r.Refusals.StartAtOnce() && wait > 0 {
 		return false
 	}
-	end, latest := now.Add(c.RoundTrip(now)+wait+r.expectedRun(time.Duration(c.slowdown(now)*float64(c.Load.ServiceTime)), wait == 0)), r.latestEnd()
+	run := r.expectedRun(time.Duration(c.slowdown(now)*float64(c.Load.ServiceTime)), wait == 0)
+	end, latest := now.Add(c.RoundTrip(now)+max(wait, c.bodyTime(now, r))+run), r.latestEnd()
+	if c.bodyWait(now, r) > maxBodyWait {
+		latest = r.Goal
+	}
 	return latest.IsZero() || !end.After(latest)
 }
 
@@ -151,12 +158,12 @@
 }
 
 // ShortestWait returns the shortest time until an attempt may be expected to get a slot at one
-// of the candidates.
-func (t Tuning) ShortestWait(now time.Time, candidates []Candidate) time.Duration {
+// of the candidates, and its body room on the link.
+func (t Tuning) ShortestWait(now time.Time, r Request, candidates []Candidate) time.Duration {
 	t = t.withTypicalServiceTime(candidates)
 	shortest := time.Duration(0)
 	for i, c := range candidates {
-		if wait := c.slotWait(now, t.serviceTime(now, c)); i == 0 || wait < shortest {
+		if wait := max(c.slotWait(now, t.serviceTime(now, c)), c.bodyWait(now, r)); i == 0 || wait < shortest {
 			shortest = wait
 		}
 	}
--- a/picker/pick_test.go
+++ b/picker/pick_test.go
@@ -143,7 +143,7 @@
 
 func TestShortestWait(t *testing.T) {
 	candidates := []Candidate{candidate("a", here, 10, 40), candidate("b", here, 10, 9)}
-	if got, want := tuning.ShortestWait(now, candidates), 200*time.Millisecond; got != want {
+	if got, want := tuning.ShortestWait(now, Request{}, candidates), 200*time.Millisecond; got != want {
 		t.Errorf("got %v, want %v", got, want)
 	}
 }
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -214,6 +214,27 @@
 	return time.Duration(float64(r.Bytes) / c.Load.LinkRate * float64(time.Second))
 }
 
+// maxBodyWait is how long the body of a request may wait if its answer may be late. Beyond that
+// others wait as well, and it would take the place of one whose answer can be in time.
+const maxBodyWait = 100 * time.Millisecond
+
+// bodyWait returns how long the body of a request waits for other ones on the link of the
+// upstream's node.
+func (c Candidate) bodyWait(now time.Time, r Request) time.Duration {
+	if c.BaseRTT == 0 || r.Body == 0 {
+		return 0
+	}
+	return max(0, c.Load.ReceiveBacklog-now.Sub(c.LoadAt))
+}
+
+// bodyTime returns how long it takes until the body of a request has arrived.
+func (c Candidate) bodyTime(now time.Time, r Request) time.Duration {
+	if c.BaseRTT == 0 || r.Body == 0 || c.Load.LinkRate <= 0 {
+		return 0
+	}
+	return c.bodyWait(now, r) + time.Duration(float64(r.Body)/c.Load.LinkRate*float64(time.Second))
+}
+
 // firstAttemptSpread is the time for each sender over which the first attempts to a new
 // upstream are spread: the link of a small instance carries a new connection with its first
 // exchange and a request in about that time. maxFirstAttemptDelay bounds it in large fleets,
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -29,8 +29,9 @@
 	// goal and deadline are those of the call.
 	goal     time.Time
 	deadline time.Time
-	// answer answers a question of the node.
-	answer func(*wire.Question)
+	// answer answers a question of the node, and granted sends the body that waits for its grant.
+	answer  func(*wire.Question)
+	granted func()
 	// started is set once the upstream may have started to work.
 	started bool
 	// accepted is set once the node has acknowledged the offer.
@@ -79,16 +80,14 @@
 		a.report(a.runLocal(ctx))
 		return
 	}
-	if refused, ok := a.awaitTurn(ctx); !ok {
-		a.report(refused, nil)
-		return
-	}
 	a.node.noteSent(a)
 	defer a.node.noteAcked(a)
-	began := time.Now()
 	interrupted := false
 	for {
-		completion, rest, err := a.runRemote(ctx, began)
+		completion, rest, err := a.runRemote(ctx)
+		if errors.Is(err, errLacksDeliver) {
+			continue
+		}
 		if err == nil {
 			if rest == nil {
 				a.finish()
@@ -97,7 +96,6 @@
 			return
 		}
 		if errors.Is(err, errNotConnected) && !a.offer.Resume {
-			a.node.pacer.forgive(len(a.offer.Body))
 			a.node.markUnreachable(a.target.Endpoint.Instance)
 			a.report(cyclam.Refused(cyclam.ReasonUpstreamDown, 0), nil)
 			return
@@ -142,11 +140,16 @@
 }
 
 // awaitTurn waits until the node's link has room for the request's body. It returns false
-// and the completion of an attempt that is not sent, because it would be too late.
-func (a *attempt) awaitTurn(ctx context.Context) (cyclam.Completion, bool) {
+// and the completion of an attempt that is not sent, because it would be too late. A body that
+// waits for a grant waits for the link after that.
+func (a *attempt) awaitTurn(ctx context.Context, delivers bool) (cyclam.Completion, bool) {
 	bytes := len(a.offer.Body)
-	if bytes < bulkBytes {
+	switch now := time.Now(); {
+	case bytes < bulkBytes:
 		return cyclam.Completion{}, true
+	case delivers:
+		wait := a.node.pacer.backlog(now)
+		return cyclam.Refused(cyclam.ReasonOverloaded, wait), now.Add(wait).Before(a.deadline)
 	}
 	wait, ok := a.node.pacer.prepayBy(bytes, a.deadline)
 	switch {
@@ -156,6 +159,7 @@
 		a.node.pacer.forgive(bytes)
 		return cyclam.Refused(cyclam.ReasonDeadlineExceeded, 0), false
 	default:
+		a.node.noteSent(a)
 		return cyclam.Completion{}, true
 	}
 }
@@ -209,13 +213,20 @@
 }
 
 // runRemote runs the attempt over the link to its node. An error means that the
-// outcome is not known; errNotConnected means that nothing was sent.
-func (a *attempt) runRemote(ctx context.Context, began time.Time) (cyclam.Completion, *answerRest, error) {
+// outcome is not known; errNotConnected means that nothing was sent, errLacksDeliver that the
+// body has to be sent with the offer.
+func (a *attempt) runRemote(ctx context.Context) (cyclam.Completion, *answerRest, error) {
+	began := time.Now()
 	l := a.node.link(a.target.Endpoint.Control)
 	conn, err := l.connect(ctx)
 	if err != nil {
 		return cyclam.Completion{}, nil, err
 	}
+	delivers, connected := a.delivers(conn), time.Now()
+	if refused, ok := a.awaitTurn(ctx, delivers); !ok {
+		return refused, nil, nil
+	}
+	began = began.Add(time.Since(connected))
 	l.beginAttempt(a, a.noteDisturbance)
 	sctx, cancel := context.WithCancel(ctx)
 	finish := func() {
@@ -224,7 +235,11 @@
 	}
 	client := wire.NewDoorClient(conn)
 	a.stamp(time.Now())
-	stream, err := serve(sctx, conn, a.offer)
+	send := serve
+	if delivers {
+		send = a.announce
+	}
+	stream, err := send(sctx, conn, a.offer)
 	if err != nil {
 		finish()
 		return cyclam.Completion{}, nil, err
@@ -243,6 +258,10 @@
 		}
 	}
 	completion, rest, err := a.collect(ctx, source, finish)
+	if status.Code(err) == codes.Unimplemented && delivers {
+		conn.lacksDeliver.Store(true)
+		return cyclam.Completion{}, nil, errLacksDeliver
+	}
 	if status.Code(err) == codes.Unimplemented {
 		return unknown(cyclam.ReasonAnswerLost), nil, nil
 	}
@@ -313,6 +332,10 @@
 		a.accepted = true
 	case *wire.Reply_Started:
 		a.started = true
+	case *wire.Reply_Granted:
+		if a.granted != nil {
+			a.granted()
+		}
 	case *wire.Reply_Question:
 		if a.answer != nil {
 			a.answer(k.Question)
--- a/proxy/bodypieces.go
+++ b/proxy/bodypieces.go
@@ -34,11 +34,18 @@
 	ServerStreams: true,
 }
 
-// withSizes announces what an offer needs of the memory of the node that gets it.
-func withSizes(ctx context.Context, o *wire.Offer) context.Context {
+// withHeadSize announces what the header of an offer needs of the memory of the node that gets
+// it.
+func withHeadSize(ctx context.Context, o *wire.Offer) context.Context {
 	if head := offerHeadMemory(o); head > 0 {
-		ctx = metadata.AppendToOutgoingContext(ctx, headBytesKey, strconv.FormatInt(head, 10))
+		return metadata.AppendToOutgoingContext(ctx, headBytesKey, strconv.FormatInt(head, 10))
 	}
+	return ctx
+}
+
+// withSizes announces what an offer needs of the memory of the node that gets it.
+func withSizes(ctx context.Context, o *wire.Offer) context.Context {
+	ctx = withHeadSize(ctx, o)
 	if len(o.Body) < announcedBytes {
 		return ctx
 	}
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -357,7 +357,7 @@
 // hedgeDelay returns how long to wait for an answer before a hedged attempt is
 // sent. Downloads and calls that are not idempotent are never hedged.
 func (c *call) hedgeDelay() time.Duration {
-	if !c.idempotent || c.route.Kind == cyclam.RouteDownload || len(c.body) >= announcedBytes {
+	if !c.idempotent || c.route.Kind == cyclam.RouteDownload || len(c.body) >= grantedBytes {
 		return time.Hour
 	}
 	return time.Duration(hedgeShare * float64(c.goal.Sub(c.arrived)))
--- a/proxy/clock.go
+++ b/proxy/clock.go
@@ -47,8 +47,11 @@
 }
 
 // stamp brings the times of the offer up to date, because it is sent now.
-func (a *attempt) stamp(now time.Time) {
-	a.offer.RemainingUs = a.deadline.Sub(now).Microseconds()
-	a.offer.GoalUs = a.goal.Sub(now).Microseconds()
-	a.offer.SentUs = a.node.clockOf(a.target.Endpoint.Identity, now)
+func (a *attempt) stamp(now time.Time) { a.stampOffer(a.offer, now) }
+
+// stampOffer states in an offer of the attempt how much time is left now.
+func (a *attempt) stampOffer(o *wire.Offer, now time.Time) {
+	o.RemainingUs = a.deadline.Sub(now).Microseconds()
+	o.GoalUs = a.goal.Sub(now).Microseconds()
+	o.SentUs = a.node.clockOf(a.target.Endpoint.Identity, now)
 }
--- a/proxy/link.go
+++ b/proxy/link.go
@@ -43,6 +43,9 @@
 	openedAt time.Time
 	// receivedAfter is the time from openedAt until a byte was received last.
 	receivedAfter atomic.Int64
+	// lacksDeliver is set if the other node is of an older build, which takes bodies only with
+	// their offers.
+	lacksDeliver atomic.Bool
 }
 
 const (
@@ -95,8 +98,11 @@
 					Conn:    conn,
 					traffic: counted,
 				},
-				pacer:  &l.node.pacer,
-				onRead: c.noteReceived,
+				pacer: &l.node.pacer,
+				onRead: func(bytes int) {
+					c.noteReceived()
+					l.node.inbound.countRead(bytes)
+				},
 			}, nil
 		}),
 		grpc.WithConnectParams(grpc.ConnectParams{
--- a/proxy/load.go
+++ b/proxy/load.go
@@ -33,6 +33,7 @@
 		Version:       uint64(l.Version),
 		Incarnation:   uint64(incarnation),
 		SendingUs:     uint32(l.SendBacklog.Microseconds()),
+		ReceivingUs:   uint32(l.ReceiveBacklog.Microseconds()),
 		LinkKbps:      uint32(l.LinkRate / linkRateUnit),
 		Notice:        notice,
 		LimitKnown:    l.RateLimit.Known(),
@@ -54,18 +55,19 @@
 
 func decodeLoad(l *wire.Load) cyclam.Load {
 	return cyclam.Load{
-		Running:     int(l.GetRunning()),
-		Waiting:     int(l.GetWaiting()),
-		Limit:       int(l.GetLimit()),
-		ServiceTime: microseconds(int64(l.GetServiceTimeUs())),
-		Failing:     float64(l.GetFailing()) / failingUnit,
-		Leaving:     l.GetLeaving(),
-		Version:     cyclam.Version(l.GetVersion()),
-		SendBacklog: microseconds(int64(l.GetSendingUs())),
-		LinkRate:    float64(l.GetLinkKbps()) * linkRateUnit,
-		RateLimit:   decodeRateLimit(l),
-		StartDelay:  microseconds(int64(l.GetStartDelayUs())),
-		Slowdown:    min(float64(l.GetSlowdown())/slowdownUnit, maxSlowdown),
+		Running:        int(l.GetRunning()),
+		Waiting:        int(l.GetWaiting()),
+		Limit:          int(l.GetLimit()),
+		ServiceTime:    microseconds(int64(l.GetServiceTimeUs())),
+		Failing:        float64(l.GetFailing()) / failingUnit,
+		Leaving:        l.GetLeaving(),
+		Version:        cyclam.Version(l.GetVersion()),
+		SendBacklog:    microseconds(int64(l.GetSendingUs())),
+		ReceiveBacklog: microseconds(int64(l.GetReceivingUs())),
+		LinkRate:       float64(l.GetLinkKbps()) * linkRateUnit,
+		RateLimit:      decodeRateLimit(l),
+		StartDelay:     microseconds(int64(l.GetStartDelayUs())),
+		Slowdown:       min(float64(l.GetSlowdown())/slowdownUnit, maxSlowdown),
 	}
 }
 
@@ -115,14 +117,14 @@
 	return to.region != "" && to.region != n.Settings.Self.Locality.Region
 }
 
-// notableBacklog is the send backlog above which a load is passed on.
+// notableBacklog is the backlog of a link above which a load is passed on.
 const notableBacklog = 50 * time.Millisecond
 
 // notable reports whether a load would affect which node is picked. Nodes whose
 // load is not reported count as idle.
 func notable(l cyclam.Load) bool {
 	_, limited := l.RateLimit.PerSecond()
-	return limited || l.Leaving || l.SendBacklog > notableBacklog || l.Failing > notableFailing || 2*(l.Running+l.Waiting) >= l.Limit
+	return limited || l.Leaving || max(l.SendBacklog, l.ReceiveBacklog) > notableBacklog || l.Failing > notableFailing || 2*(l.Running+l.Waiting) >= l.Limit
 }
 
 // gossipLoads returns this node's load and the recent, notable loads of other nodes that are
--- a/proxy/meters.go
+++ b/proxy/meters.go
@@ -38,6 +38,8 @@
 	revocation metrics.Timer
 	requests   metrics.Timer
 	run        metrics.Timer
+	// grantWait times how long bodies of other nodes have waited until they were granted.
+	grantWait metrics.Timer
 }
 
 func newMeters(r metrics.Registry) meters {
@@ -59,6 +61,7 @@
 		revocation:       metrics.GetOrRegisterTimer("revocation", r),
 		requests:         metrics.GetOrRegisterTimer("request", r),
 		run:              metrics.GetOrRegisterTimer("upstream-run", r),
+		grantWait:        metrics.GetOrRegisterTimer("body-grant-wait", r),
 	}
 	m.rateLimit.Update(noRateLimitGauge)
 	return m
--- a/proxy/node.go
+++ b/proxy/node.go
@@ -108,7 +108,8 @@
 	// spending bounds how many requests of each team are admitted.
 	spending spending
 
-	pacer linkPacer
+	pacer   linkPacer
+	inbound inbound
 	// answers counts the memory of the answers that the node holds.
 	answers answerMemory
 	// bodies bounds the memory of the request bodies that the node holds.
@@ -193,6 +194,9 @@
 	n.pacer.state = pace.State{
 		Rate: paceShare * n.Settings.LinkRate,
 	}
+	n.inbound.state = pace.Inbound{
+		Rate: paceShare * n.Settings.LinkRate,
+	}
 }
 
 func listenTCP(address string) (net.Listener, error) { return net.Listen("tcp", address) }
--- a/proxy/pacer.go
+++ b/proxy/pacer.go
@@ -140,15 +140,15 @@
 	net.Conn
 
 	pacer *linkPacer
-	// onRead is called when bytes have been received; nil is allowed.
-	onRead func()
+	// onRead is called with the number of bytes that have been received.
+	onRead func(bytes int)
 }
 
 // Read reads what has arrived.
 func (c *pacedConn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
-	if n > 0 && c.onRead != nil {
-		c.onRead()
+	if n > 0 {
+		c.onRead(n)
 	}
 	return n, err
 }
@@ -164,6 +164,8 @@
 	net.Listener
 
 	pacer *linkPacer
+	// onRead is called with the number of bytes that have been received on any connection.
+	onRead func(bytes int)
 }
 
 // Accept waits for the next connection.
@@ -173,8 +175,9 @@
 		return nil, err
 	}
 	return &pacedConn{
-		Conn:  conn,
-		pacer: l.pacer,
+		Conn:   conn,
+		pacer:  l.pacer,
+		onRead: l.onRead,
 	}, nil
 }
 
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -55,7 +55,8 @@
 				Limit:       string(limitPeers),
 				ServedAfter: prefaceBytes,
 			},
-			pacer: &n.pacer,
+			pacer:  &n.pacer,
+			onRead: n.inbound.countRead,
 		}))
 	})
 	group.Go(func() error {
@@ -74,18 +75,30 @@
 		return err
 	}
 	n.noteVersion(cyclam.Version(offer.Version), cyclam.InstanceName(offer.GetAttempt().GetInstance()))
+	return p.run(stream, offer, func(j *job) { keepBody(stream.Context(), j) })
+}
+
+// sendFinal sends the only reply to an offer.
+func (n *Node) sendFinal(stream grpc.BidiStreamingServer[wire.Offer, wire.Replies], offer *wire.Offer, final *wire.Reply) error {
+	load := n.load()
+	if offer.Instance != string(n.self.Instance) {
+		load.Incarnation = 0
+	}
+	return stream.Send(&wire.Replies{
+		Load:    load,
+		Replies: []*wire.Reply{final},
+	})
+}
+
+// run runs an attempt whose offer has arrived, or joins one that is in progress, and streams its
+// replies. keep is called with the job.
+func (p *peerServer) run(stream grpc.BidiStreamingServer[wire.Offer, wire.Replies], offer *wire.Offer, keep func(*job)) error {
+	n := p.node
 	j, final := n.admit(offer)
 	if final != nil {
-		load := n.load()
-		if offer.Instance != string(n.self.Instance) {
-			load.Incarnation = 0
-		}
-		return stream.Send(&wire.Replies{
-			Load:    load,
-			Replies: []*wire.Reply{final},
-		})
+		return n.sendFinal(stream, offer, final)
 	}
-	keepBody(stream.Context(), j)
+	keep(j)
 	reader := j.attach()
 	defer n.release(j, reader)
 	sent := 0
--- a/proxy/pick.go
+++ b/proxy/pick.go
@@ -47,16 +47,21 @@
 	if c.suspected {
 		return trialTarget(c.fingerprint(), open), ""
 	}
-	i, ok := n.pickTuning.Pick(now, picker.Request{
+	request := picker.Request{
 		From:          n.Settings.Self.Locality,
 		Bytes:         n.expectedBytes(c.route),
 		TargetLatency: c.route.TargetLatency,
 		Goal:          c.goal,
 		Deadline:      c.deadline,
 		Refusals:      c.refused,
-	}, open, rand.IntN)
+	}
+	if len(c.body) >= grantedBytes {
+		request.Body = len(c.body)
+		request.Bytes = max(request.Bytes, len(c.body))
+	}
+	i, ok := n.pickTuning.Pick(now, request, open, rand.IntN)
 	if !ok {
-		c.noteRetryAfter(n.pickTuning.ShortestWait(now, open))
+		c.noteRetryAfter(n.pickTuning.ShortestWait(now, request, open))
 		return picker.Candidate{}, cyclam.ReasonOverloaded
 	}
 	return open[i], ""
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -68,33 +68,20 @@
 	}
 	n.schedMu.Lock()
 	defer n.schedMu.Unlock()
-	target := cyclam.Identity{
-		Instance:    cyclam.InstanceName(offer.Instance),
-		Incarnation: cyclam.Incarnation(offer.Incarnation),
-	}
+	target := addresseeOf(offer)
 	if j, known := n.jobs[attempt]; known {
 		n.noteWordLocked(j, n.timeOf(offer.SentUs), microseconds(offer.RemainingUs))
 		return j, nil
 	}
+	now := time.Now()
 	switch {
 	case target != n.self && offer.Resume, n.fences.discarded.has(attempt):
 		return nil, ended(cyclam.ReasonAnswerNotRetained)
-	case target != n.self:
-		return nil, declined(cyclam.ReasonWrongTarget, 0)
-	case n.fences.revoked.has(attempt):
-		return nil, declined(cyclam.ReasonCancelled, 0)
-	case offer.Resume:
+	case offer.Resume && !n.fences.revoked.has(attempt):
 		n.fences.revoked.add(attempt)
-		return nil, declined(cyclam.ReasonCancelled, 0)
-	case n.closedToPeers(time.Now()):
-		return nil, declined(cyclam.ReasonDraining, 0)
-	case cyclam.ServiceName(offer.Service) != n.Settings.Self.Service:
-		return nil, declined(cyclam.ReasonWrongTarget, 0)
 	}
-	now := time.Now()
-	if n.withholds(offer, now) {
-		n.meters.countRefusal(cyclam.ReasonWithheld)
-		return nil, declined(cyclam.ReasonWithheld, 0)
+	if reason := n.refusalOf(offer, attempt, now); reason != "" {
+		return nil, declined(reason, 0)
 	}
 	j := newJob(context.Background(), offer, attempt, now)
 	if refusal := n.screen(j, now); refusal != nil {
@@ -135,6 +122,34 @@
 	return j, nil
 }
 
+// addresseeOf returns the node to which an offer is addressed.
+func addresseeOf(offer *wire.Offer) cyclam.Identity {
+	return cyclam.Identity{
+		Instance:    cyclam.InstanceName(offer.Instance),
+		Incarnation: cyclam.Incarnation(offer.Incarnation),
+	}
+}
+
+// refusalOf returns why an offer is refused whatever else runs or waits here; empty if it is not.
+// The caller holds schedMu.
+func (n *Node) refusalOf(offer *wire.Offer, attempt cyclam.AttemptID, now time.Time) cyclam.Reason {
+	switch {
+	case addresseeOf(offer) != n.self:
+		return cyclam.ReasonWrongTarget
+	case n.fences.revoked.has(attempt):
+		return cyclam.ReasonCancelled
+	case n.closedToPeers(now):
+		return cyclam.ReasonDraining
+	case cyclam.ServiceName(offer.Service) != n.Settings.Self.Service:
+		return cyclam.ReasonWrongTarget
+	case n.withholds(offer, now):
+		n.meters.countRefusal(cyclam.ReasonWithheld)
+		return cyclam.ReasonWithheld
+	default:
+		return ""
+	}
+}
+
 // microseconds returns a duration of a message, at most cyclam.MaxSpan in either direction.
 func microseconds(us int64) time.Duration { return cyclam.Span(us, time.Microsecond) }
 
@@ -407,7 +422,7 @@
 	n.schedMu.Unlock()
 	l.Leaving = l.Leaving || n.closedToPeers(now)
 	l.Version = n.version()
-	l.SendBacklog, l.LinkRate = n.pacer.backlog(now), n.Settings.LinkRate
+	l.SendBacklog, l.ReceiveBacklog, l.LinkRate = n.pacer.backlog(now), n.inbound.backlog(now), n.Settings.LinkRate
 	w := encodeLoad(l, n.self.Incarnation, notice.encode(now))
 	w.ClockUs = n.clock(now)
 	return w
--- a/sched/servicetime.go
+++ b/sched/servicetime.go
@@ -50,6 +50,12 @@
 	return s.serviceTime
 }
 
+// ExpectedStay returns the expected time until a run of a route ends that arrives now and waits
+// for all others.
+func (s State) ExpectedStay(now time.Time, route string) time.Duration {
+	return s.expectedWait(now, len(s.queue)) + s.expectedServiceTime(now, route)
+}
+
 // expectedServiceTime returns the expected time of a run of a route that starts now.
 func (s State) expectedServiceTime(now time.Time, route string) time.Duration {
 	return time.Duration(s.slowdown.factor(now) * float64(s.usualServiceTime(route)))
--- a/upstream.go
+++ b/upstream.go
@@ -48,6 +48,9 @@
 	// second. Both are zero if not known.
 	SendBacklog time.Duration
 	LinkRate    float64
+	// ReceiveBacklog is how long a large body that is announced to the node would wait until
+	// it is sent, because the node's link has others to receive.
+	ReceiveBacklog time.Duration
 	// RateLimit is the limit that the upstream names. StartDelay is how long a new
 	// attempt would wait for it.
 	RateLimit  RateLimit
