--- a/stand/appsim/appsim.go
+++ b/stand/appsim/appsim.go
@@ -86,6 +86,8 @@
 	// limit is the rate limit that answers name; empty if none.
 	limit string
 	flood Flood
+	// odd is the share of the requests that get what is no answer.
+	odd float64
 }
 
 // Run serves requests and sends heartbeats until ctx ends.
@@ -174,6 +176,9 @@
 
 // ServeHTTP serves a health check or a request.
 func (b *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if b.answerOddly(w, r) {
+		return
+	}
 	// The server notices that a client has left only after the body has been read.
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		panic(http.ErrAbortHandler)
--- a/stand/drill/client_test.go
+++ b/stand/drill/client_test.go
@@ -37,6 +37,8 @@
 	name    string
 	http    http.Client
 	count   int
+	// padding is the size of what follows the id in a request's body, in bytes.
+	padding int
 }
 
 // routes are the path prefixes of the routes that all versions have.
@@ -114,7 +116,7 @@
 }
 
 func (c *client) newRequest(ctx context.Context, path, id string, left time.Duration) (*http.Request, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.machine.address(child.PortOutbound)+path+"x", strings.NewReader(id))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.machine.address(child.PortOutbound)+path+"x", strings.NewReader(id+strings.Repeat("x", c.padding)))
 	if err != nil {
 		return nil, err
 	}
