--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -36,6 +36,8 @@
 	started bool
 	// accepted is set once the node has acknowledged the offer.
 	accepted bool
+	// called holds the requests that the run has made.
+	called []*wire.Called
 	// leaving is set once the node has told that it is about to stop.
 	leaving bool
 	// held counts the memory of what is received for the call.
@@ -170,6 +172,7 @@
 		completion: completion,
 		rest:       rest,
 		mayHaveRun: completion.Outcome != cyclam.OutcomeNotRun,
+		called:     a.called,
 	}
 }
 
@@ -352,6 +355,7 @@
 		r.answer.Body = append(r.answer.Body, k.Chunk...)
 		a.held.add(len(k.Chunk))
 	case *wire.Reply_End:
+		a.called = k.End.Called
 		if k.End.Reason != "" || r.answer.Status == 0 {
 			return unknown(cyclam.Reason(k.End.Reason)), true
 		}
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -72,6 +72,8 @@
 	suspect bool
 	// mayHaveRun is set if the upstream may have started to work.
 	mayHaveRun bool
+	// called holds the requests that the run has made, as far as is known.
+	called []*wire.Called
 }
 
 const (
@@ -115,6 +117,9 @@
 		return result{}, false
 	}
 	c.inFlight--
+	if r.completion.Outcome == cyclam.OutcomeDone {
+		c.node.learnCalls(c.route.Name, r.called)
+	}
 	if !r.mayHaveRun {
 		delete(c.maybeStarted, name)
 	}
@@ -155,7 +160,7 @@
 		if !c.mayRetry() {
 			return false
 		}
-		c.node.countRetry(c.service)
+		c.countRetry()
 	}
 	return c.send(ctx, results)
 }
@@ -267,7 +272,7 @@
 		n.meters.resends.Inc(1)
 	}
 	if len(c.maybeStarted) > 0 || c.lastFailure != nil {
-		n.countRetry(c.service)
+		c.countRetry()
 	}
 	c.chosen, c.viewAge = target, viewAge(target)
 	c.sends++
--- a/proxy/handle.go
+++ b/proxy/handle.go
@@ -100,7 +100,9 @@
 	c.refused.Nested = c.offer.Nested
 	c.body = body
 	c.fingerprint = fingerprintOf(c.offer, func() []byte { return body })
-	if !c.offer.Nested {
+	if c.offer.Nested {
+		n.noteCalled(meta.Parent, c.service)
+	} else {
 		n.countRequest(c.service)
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
--- a/proxy/node.go
+++ b/proxy/node.go
@@ -85,13 +85,17 @@
 	// exchangeBytes holds the mean bytes of a request plus its answer, by route.
 	exchangeBytes map[string]float64
 	budgets       map[cyclam.ServiceName]budget.State
-	pickTuning    picker.Tuning
+	// callsOf holds what runs of a route call, by route.
+	callsOf    map[string]calls
+	pickTuning picker.Tuning
 
 	schedMu   sync.Mutex
 	scheduler sched.State
 	jobs      map[cyclam.AttemptID]*job
 	// runningByID counts the attempts running at the local upstream by request id.
 	runningByID map[string]int
+	// calledByID counts the requests that they have made, by service.
+	calledByID map[string]map[cyclam.ServiceName]uint32
 	// nestedOf tells of the nested requests of running ones, by request id.
 	nestedOf map[string]nestedCalls
 	fences   fenceSets
@@ -184,6 +188,8 @@
 	})
 	n.jobs = map[cyclam.AttemptID]*job{}
 	n.runningByID = map[string]int{}
+	n.calledByID = map[string]map[cyclam.ServiceName]uint32{}
+	n.callsOf = map[string]calls{}
 	n.nestedOf = map[string]nestedCalls{}
 	n.answerBytes = map[string]float64{}
 	n.ownNotices = map[string]notice{}
--- a/proxy/retry.go
+++ b/proxy/retry.go
@@ -18,11 +18,13 @@
 	nodes := n.nodeCount()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	allowed := n.budgetOf(c.service).Allows(now, nodes)
-	if !allowed {
-		n.meters.budgetSpent.Inc(1)
+	for service := range c.charged() {
+		if !n.budgetOf(service).Allows(now, nodes) {
+			n.meters.budgetSpent.Inc(1)
+			return false
+		}
 	}
-	return allowed
+	return true
 }
 
 // mayHedge reports whether the retry budget allows a hedged attempt. Part of the
@@ -32,7 +34,12 @@
 	nodes := n.nodeCount()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.budgetOf(c.service).AllowsHedge(time.Now(), nodes)
+	for service := range c.charged() {
+		if !n.budgetOf(service).AllowsHedge(time.Now(), nodes) {
+			return false
+		}
+	}
+	return true
 }
 
 // budgetLeft returns how many more retries this node's budget for the call's service
@@ -48,11 +55,17 @@
 // minAttemptTime is the least time left for which another attempt is started.
 const minAttemptTime = 60 * time.Millisecond
 
-// countRetry charges a retry to the service's budget.
-func (n *Node) countRetry(service cyclam.ServiceName) {
+// countRetry charges a repeat of the call to the retry budgets of the services at which it causes
+// arrivals.
+func (c *call) countRetry() {
+	n := c.node
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.budgets[service] = n.budgetOf(service).WithRetry(time.Now())
+	for service, mean := range c.charged() {
+		for range arrivals(mean) {
+			n.budgets[service] = n.budgetOf(service).WithRetry(time.Now())
+		}
+	}
 }
 
 // countRequest credits the service's retry budget for a caller's request.
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -225,6 +225,9 @@
 		n.noteMisdirected(sentTo.Load())
 	}
 	run, last := n.classifyRun(j, sink, err, time.Since(began))
+	if end := last.GetEnd(); end != nil {
+		end.Called = n.called(id)
+	}
 	n.countRolloutRun(j, sentTo.Load(), sink, run, err)
 	if sink.skipped > 0 {
 		n.Log.Info("stray-bytes-skipped", append(n.jobFields(j), "bytes", sink.skipped)...)
@@ -275,6 +278,7 @@
 	n.runningByID[id]--
 	if n.runningByID[id] == 0 {
 		delete(n.runningByID, id)
+		delete(n.calledByID, id)
 		delete(n.nestedOf, id)
 	}
 }
