--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -76,7 +76,8 @@
 	}
 }
 
-// A head of usual size is not counted; one of very many short fields is.
+// A head of usual size is not counted; one of very many short fields is, and so is one of few long
+// ones.
 func TestHeadMemory(t *testing.T) {
 	if got := HeadMemory(2000, 40); got != 0 {
 		t.Errorf("usual head: got %d, want 0", got)
@@ -84,4 +85,7 @@
 	if got, least := HeadMemory(16<<10, 4<<10), int64(1<<20); got < least {
 		t.Errorf("many short fields: got %d, want at least %d", got, least)
 	}
+	if got, least := HeadMemory(14<<10, 10), int64(64<<10); got < least {
+		t.Errorf("few long fields: got %d, want at least %d", got, least)
+	}
 }
--- a/guard/limits.go
+++ b/guard/limits.go
@@ -12,11 +12,11 @@
 	// smallBodyBytes is the size up to which a body is small.
 	smallBodyBytes = 64 << 10
 	// headBytes and fieldBytes are the memory of a byte of a request's head and of a
-	// field: as parsed, for forwarding, and encoded.
-	headBytes  = 3
+	// field: as received, parsed, for forwarding, for an attempt, and encoded.
+	headBytes  = 6
 	fieldBytes = 400
 	// freeHeadBytes is the memory of a head that is not counted.
-	freeHeadBytes = 64 << 10
+	freeHeadBytes = 32 << 10
 )
 
 // Shares of the machine's memory; BodiesShare is that of large bodies.
--- a/stand/abuse/abuse_test.go
+++ b/stand/abuse/abuse_test.go
@@ -234,3 +234,43 @@
 func TestSilentConnections(t *testing.T) {
 	against(t, silentClients, func(target, int, io.Writer) error { return nil })
 }
+
+// Clients that send requests with heads of legal size and read the answers, beside others that
+// upload bodies in chunks and stop short of their end: the one crowd must leave room for the other
+// (review/7).
+func TestMixedCrowd(t *testing.T) {
+	const (
+		readers   = 1900
+		uploaders = 100
+		mixedBody = 64 << 20
+		size      = 1 << 20
+	)
+	w := &world{
+		t:           t,
+		memoryLimit: 284 << 20,
+		bodyLimit:   mixedBody,
+		fileLimit:   4100,
+		work:        220 * time.Millisecond,
+	}
+	w.start()
+	address := w.machines[0].Address(child.PortOutbound)
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", size, strings.Repeat("y", size))
+	for i := range readers {
+		var head strings.Builder
+		head.WriteString(targets[0].head(i))
+		for n := 0; head.Len() < headerLimit-2000; n++ {
+			fmt.Fprintf(&head, "X-Field-%d: %s\r\n", n, strings.Repeat("x", 1500))
+		}
+		w.clients.joinReading(address, head.String()+"Content-Length: 0\r\n\r\n")
+	}
+	for i := range uploaders {
+		w.clients.join(address, func(c io.Writer) error {
+			_, err := io.WriteString(c, targets[0].head(readers+i)+"Transfer-Encoding: chunked\r\n\r\n")
+			for sent := 0; err == nil && sent < mixedBody-size; sent += size {
+				_, err = io.WriteString(c, chunk)
+			}
+			return err
+		})
+	}
+	w.check()
+}
--- a/stand/abuse/world_test.go
+++ b/stand/abuse/world_test.go
@@ -4,6 +4,7 @@
 package abuse
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
 	"fmt"
@@ -60,9 +61,12 @@
 	// memoryLimit and bodyLimit are in bytes.
 	memoryLimit int64
 	bodyLimit   int
-	machines    []*machine
-	clients     crowd
-	requests    atomic.Int64
+	fileLimit   int
+	// work is how long a request takes.
+	work     time.Duration
+	machines []*machine
+	clients  crowd
+	requests atomic.Int64
 }
 
 // machine is a node process and the backend beside it.
@@ -81,7 +85,17 @@
 		t:           t,
 		memoryLimit: memoryLimit,
 		bodyLimit:   bodyLimit,
+		fileLimit:   fileLimit,
+		work:        time.Millisecond,
 	}
+	w.start()
+	return w
+}
+
+// start starts the machines and waits until they serve.
+func (w *world) start() {
+	t, bodyLimit := w.t, w.bodyLimit
+	t.Helper()
 	store := mstore.NewServer()
 	store.Put("config", "main", config(bodyLimit))
 	dir := t.TempDir()
@@ -93,7 +107,6 @@
 		w.await(m.Name+" is ready", m.ready)
 		w.await(m.Name+" serves", func() error { return w.request(m, http.MethodPost, "/a/x", []byte("x")) })
 	}
-	return w
 }
 
 func config(bodyLimit int) json.RawMessage {
@@ -130,7 +143,7 @@
 			IP:          ip,
 			Dir:         dir,
 			MemoryMB:    int(w.memoryLimit >> 20),
-			Descriptors: fileLimit,
+			Descriptors: w.fileLimit,
 			Drain:       2 * time.Second,
 			Grace:       6 * time.Second,
 		},
@@ -143,7 +156,7 @@
 		ControlPlane: m.Address(child.PortControlPlane),
 		Slots:        backendSlots,
 		Heartbeat:    400 * time.Millisecond,
-		Work:         func() time.Duration { return time.Millisecond },
+		Work:         func() time.Duration { return w.work },
 		LargeSuffix:  largeSuffix,
 		LargeBytes:   largeAnswer,
 	}
@@ -259,8 +272,8 @@
 		if memory > w.memoryLimit {
 			w.t.Errorf("%s: peak memory: got %d MiB, want at most %d", m.Name, memory>>20, w.memoryLimit>>20)
 		}
-		if descriptors > fileLimit {
-			w.t.Errorf("%s: descriptors: got %d, want at most %d", m.Name, descriptors, fileLimit)
+		if descriptors > int64(w.fileLimit) {
+			w.t.Errorf("%s: descriptors: got %d, want at most %d", m.Name, descriptors, w.fileLimit)
 		}
 		if !m.process.Running() {
 			w.t.Errorf("%s: the process has ended", m.Name)
@@ -326,6 +339,25 @@
 	c.group.Wait()
 }
 
+// joinReading adds a client that sends one request after the other and reads each answer.
+func (c *crowd) joinReading(address, request string) {
+	c.join(address, func(w io.Writer) error {
+		answers := bufio.NewReader(w.(countedWriter).Writer.(net.Conn))
+		for {
+			if _, err := io.WriteString(w, request); err != nil {
+				return err
+			}
+			resp, err := http.ReadResponse(answers, nil)
+			if err != nil {
+				return err
+			}
+			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+				return err
+			}
+		}
+	})
+}
+
 // countedWriter counts what the crowd has sent.
 type countedWriter struct {
 	io.Writer
