--- a/quota/account.go
+++ b/quota/account.go
@@ -104,6 +104,14 @@
 	return a
 }
 
+// WithCorrection returns the account after it has become known that its balance is off by an
+// amount.
+func (a Account) WithCorrection(now time.Time, amount float64) Account {
+	a = a.refilled(now)
+	a.balance = min(a.depth, a.balance+amount)
+	return a
+}
+
 // WithRefund returns the account after a request that was admitted here has not run.
 func (a Account) WithRefund(now time.Time) Account {
 	a = a.refilled(now)
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -27,6 +27,8 @@
 	teams    []cyclam.Team
 	nodes    []*Ledger
 	cut      map[int]bool
+	// noticeAt is when instances notice which others are in reach; zero if they do at once.
+	noticeAt time.Time
 	admitted map[cyclam.TeamName][]time.Time
 	mail     []mail
 }
@@ -136,7 +138,9 @@
 		if (f.now.Sub(f.start)+time.Duration(i)*replayStep)%reportEvery != 0 {
 			continue
 		}
-		f.elect(i)
+		if !f.now.Before(f.noticeAt) {
+			f.elect(i)
+		}
 		l.Tick(f.now)
 		f.report(i)
 	}
--- a/quota/relay.go
+++ b/quota/relay.go
@@ -16,7 +16,8 @@
 	// zero if it is not.
 	Covers int
 	Uses   map[cyclam.TeamName]Use
-	// Balances holds what the sender knows of all teams, for a relay that has just started.
+	// Balances holds what the sender knows: of all teams, for a relay that has just started, or,
+	// if the sender is a relay, of the teams of the report.
 	Balances map[cyclam.TeamName]Balance
 }
 
@@ -143,9 +144,12 @@
 	if l.relay {
 		report.Covers = l.covered(now, false)
 	}
-	if o.fresh && l.warm {
-		report.Balances = map[cyclam.TeamName]Balance{}
-		for team, account := range l.accounts {
+	if !l.warm || !l.relay && !o.fresh {
+		return report, true
+	}
+	report.Balances = map[cyclam.TeamName]Balance{}
+	for team, account := range l.accounts {
+		if _, used := o.flight[team]; used || o.fresh {
 			report.Balances[team] = account.told(now)
 		}
 	}
@@ -181,8 +185,11 @@
 			}
 		}
 	}
-	if !l.warm {
+	switch {
+	case !l.warm:
 		l.adopt(now, discounted(report.Balances), nil)
+	case l.relay && report.Covers > 0:
+		l.approach(now, report.Balances)
 	}
 	l.updateCoverage(now)
 	return l.reply(now, report, !known)
@@ -213,6 +220,30 @@
 	}
 }
 
+// The parts of the difference to another relay's balance that a relay takes over with each of its
+// reports, if that is lower and if it is higher. What relays have not heard of is always use, so
+// that the lower balance is nearer to the truth.
+const (
+	lowerShare  = 0.2
+	higherShare = 0.05
+)
+
+// approach moves what this relay knows of teams towards the balances of another relay. Reports that
+// are lost with a relay leave them apart, and they would stay so while a team uses all of its quota.
+func (l *Ledger) approach(now time.Time, balances map[cyclam.TeamName]Balance) {
+	for team, balance := range balances {
+		account, ok := l.accounts[team]
+		if !ok || !balance.isFinite() {
+			continue
+		}
+		share, off := lowerShare, balance.Amount-account.Balance(now)
+		if off > 0 {
+			share = higherShare
+		}
+		l.accounts[team] = account.WithCorrection(now, share*off)
+	}
+}
+
 // senderKept is how long the sequence of a sender is remembered.
 const senderKept = time.Minute
 
--- a/quota/replay_test.go
+++ b/quota/replay_test.go
@@ -167,6 +167,48 @@
 	}
 }
 
+// The relay of a data centre ends while a team sends more than its quota to all instances. What
+// the relays know of the team's balance must not stay apart: its requests would be refused in one
+// data centre, and admitted in the other, for as long as they exceed the quota.
+func TestDataCentresShareAQuotaAfterALoss(t *testing.T) {
+	team := cyclam.Team{
+		Name: "team",
+		Quota: cyclam.Quota{
+			Rate:  870,
+			Burst: 870,
+		},
+	}
+	const size = 80
+	for seed := range uint64(4) {
+		f := newFleet(size, team)
+		f.settle()
+		r := rand.New(rand.NewPCG(seed, 8))
+		hot := load{
+			perSecond: 1400,
+			span:      2 * time.Second,
+		}
+		f.play(r, team.Name, -1, hot)
+		f.cut[1], f.noticeAt = true, f.now.Add(700*time.Millisecond)
+		f.play(r, team.Name, -1, hot)
+		f.play(r, team.Name, -1, hot)
+		var admitted [2]int
+		for range 4 * int(time.Second/replayStep) {
+			f.step()
+			for range int(hot.perSecond * replayStep.Seconds()) {
+				i := 2 + r.IntN(size-2)
+				admitted[i%2] += f.ask(i, team.Name, 1)
+			}
+		}
+		low, high := min(admitted[0], admitted[1]), max(admitted[0], admitted[1])
+		if got, least := low, high*2/3; got < least {
+			t.Errorf("seed %d: got %v requests admitted in the data centres, want the lower number at least two thirds of the other", seed, admitted)
+		}
+		if got, want := f.worst(team.Name), allowed(team.Quota); got > want {
+			t.Errorf("seed %d: got %d requests admitted in one window, want at most %d", seed, got, want)
+		}
+	}
+}
+
 // Whatever demand, cuts and restarts come in whatever order, no window exceeds the quota.
 func TestQuotaModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
