--- a/proxy/fleet.go
+++ b/proxy/fleet.go
@@ -331,6 +331,20 @@
 	n.Log.Info("node-address-taken", "peer", e.Instance, "address", e.Control)
 }
 
+// noteReplaced is noteTakenOver for the instance that was taken to be at an address.
+func (n *Node) noteReplaced(name cyclam.InstanceName, address string) {
+	n.mu.Lock()
+	m, ok := n.fleet.members[name]
+	var e cyclam.Endpoint
+	if ok {
+		e = m.view.Endpoint
+	}
+	n.mu.Unlock()
+	if ok && e.Control == address {
+		n.noteTakenOver(e)
+	}
+}
+
 // nodeCount returns the number of nodes, including this one, that share the retry
 // budget.
 func (n *Node) nodeCount() int {
--- a/proxy/spend.go
+++ b/proxy/spend.go
@@ -10,6 +10,8 @@
 	"github.com/cyclamensaddle/cyclam/quota"
 	"github.com/cyclamensaddle/cyclam/teams"
 	"github.com/cyclamensaddle/cyclam/wire"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 )
 
 const (
@@ -233,7 +235,12 @@
 	if !ok {
 		return nil
 	}
-	reply, err := wire.NewDoorClient(conn).Spend(ctx, encodeSpendReport(n.self, report))
+	message := encodeSpendReport(n.self, report)
+	message.Receiver = string(name)
+	reply, err := wire.NewDoorClient(conn).Spend(ctx, message)
+	if status.Code(err) == codes.NotFound {
+		n.noteReplaced(name, address)
+	}
 	if err != nil {
 		return cyclam.AtStep("report spending", address, err)
 	}
@@ -245,6 +252,9 @@
 
 // Spend counts what another node has admitted.
 func (p *peerServer) Spend(_ context.Context, r *wire.SpendReport) (*wire.SpendReply, error) {
+	if to := cyclam.InstanceName(r.GetReceiver()); to != "" && to != p.node.self.Instance {
+		return nil, status.Errorf(codes.NotFound, "report for %s at %s", to, p.node.self.Instance)
+	}
 	s := &p.node.spending
 	from := cyclam.Identity{
 		Instance:    cyclam.InstanceName(r.GetInstance()),
