--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -22,11 +22,11 @@
 
 // fleet replays the ledgers of instances in two data centres.
 type fleet struct {
-	now      time.Time
-	start    time.Time
-	teams    []cyclam.Team
-	nodes    []*Ledger
-	cut      map[int]bool
+	now   time.Time
+	start time.Time
+	teams []cyclam.Team
+	nodes []*Ledger
+	cut   map[int]bool
 	// noticeAt is when instances notice which others are in reach; zero if they do at once.
 	noticeAt time.Time
 	admitted map[cyclam.TeamName][]time.Time
