--- a/frame/conn_test.go
+++ b/frame/conn_test.go
@@ -34,14 +34,39 @@
 		err   error
 		want  error
 	}{
-		"written":               {want: io.EOF},
-		"reset":                 {err: syscall.ECONNRESET, want: ErrBroken},
-		"closed":                {err: syscall.EPIPE, want: ErrBroken},
-		"reset reported late":   {after: writeGrace / 2, err: syscall.ECONNRESET, want: ErrBroken},
-		"no answer to probes":   {err: syscall.ETIMEDOUT, want: ErrBroken},
-		"own deadline":          {err: os.ErrDeadlineExceeded, want: io.EOF},
-		"still being written":   {after: 10 * writeGrace, want: io.EOF},
-		"reset after the grace": {after: 10 * writeGrace, err: syscall.ECONNRESET, want: io.EOF},
+		"written": {
+			want: io.EOF,
+		},
+		"reset": {
+			err:  syscall.ECONNRESET,
+			want: ErrBroken,
+		},
+		"closed": {
+			err:  syscall.EPIPE,
+			want: ErrBroken,
+		},
+		"reset reported late": {
+			after: writeGrace / 2,
+			err:   syscall.ECONNRESET,
+			want:  ErrBroken,
+		},
+		"no answer to probes": {
+			err:  syscall.ETIMEDOUT,
+			want: ErrBroken,
+		},
+		"own deadline": {
+			err:  os.ErrDeadlineExceeded,
+			want: io.EOF,
+		},
+		"still being written": {
+			after: 10 * writeGrace,
+			want:  io.EOF,
+		},
+		"reset after the grace": {
+			after: 10 * writeGrace,
+			err:   syscall.ECONNRESET,
+			want:  io.EOF,
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/frame/headconn_test.go
+++ b/frame/headconn_test.go
@@ -27,20 +27,56 @@
 		answer string
 		want   error
 	}{
-		"an answer":                {answer: good},
-		"line feeds alone":         {answer: "HTTP/1.1 200 OK\nContent-Length: 4\n\ngood"},
-		"no fields":                {answer: "HTTP/1.1 200 OK\r\n\r\ngood"},
-		"interim answers":          {answer: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + good},
-		"a body like a head":       {answer: good + "HTTP/1.1 000 Odd\r\n\r\n"},
-		"cut in its head":          {answer: good[:20]},
-		"status of zero":           {answer: strings.Replace(good, "200", "000", 1), want: ErrNoHead},
-		"after an interim":         {answer: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Odd\r\n\r\n", want: ErrNoHead},
-		"blank in a name":          {answer: strings.Replace(good, "Length:", "Length :", 1), want: ErrNoHead},
-		"interim with a blank":     {answer: "HTTP/1.1 100 Continue\r\nX Odd: 1\r\n\r\n" + good, want: ErrNoHead},
-		"bytes before it":          {answer: "what?\r\n\r\n" + good, want: ErrNoHead},
-		"an empty line before":     {answer: "\r\n" + good, want: ErrNoHead},
-		"a very long head":         {answer: "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-Field: value\r\n", MaxHeadBytes/8), want: ErrNoHead},
-		"no end of the first line": {answer: strings.Repeat("x", 2*MaxHeadBytes), want: ErrNoHead},
+		"an answer": {
+			answer: good,
+		},
+		"line feeds alone": {
+			answer: "HTTP/1.1 200 OK\nContent-Length: 4\n\ngood",
+		},
+		"no fields": {
+			answer: "HTTP/1.1 200 OK\r\n\r\ngood",
+		},
+		"interim answers": {
+			answer: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + good,
+		},
+		"a body like a head": {
+			answer: good + "HTTP/1.1 000 Odd\r\n\r\n",
+		},
+		"cut in its head": {
+			answer: good[:20],
+		},
+		"status of zero": {
+			answer: strings.Replace(good, "200", "000", 1),
+			want:   ErrNoHead,
+		},
+		"after an interim": {
+			answer: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Odd\r\n\r\n",
+			want:   ErrNoHead,
+		},
+		"blank in a name": {
+			answer: strings.Replace(good, "Length:", "Length :", 1),
+			want:   ErrNoHead,
+		},
+		"interim with a blank": {
+			answer: "HTTP/1.1 100 Continue\r\nX Odd: 1\r\n\r\n" + good,
+			want:   ErrNoHead,
+		},
+		"bytes before it": {
+			answer: "what?\r\n\r\n" + good,
+			want:   ErrNoHead,
+		},
+		"an empty line before": {
+			answer: "\r\n" + good,
+			want:   ErrNoHead,
+		},
+		"a very long head": {
+			answer: "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-Field: value\r\n", MaxHeadBytes/8),
+			want:   ErrNoHead,
+		},
+		"no end of the first line": {
+			answer: strings.Repeat("x", 2*MaxHeadBytes),
+			want:   ErrNoHead,
+		},
 	} {
 		for pieces, reader := range map[string]io.Reader{
 			"at once":    strings.NewReader(c.answer),
--- a/origin/earlyanswer_test.go
+++ b/origin/earlyanswer_test.go
@@ -110,13 +110,38 @@
 		end     func(*net.TCPConn)
 		wantErr bool
 	}{
-		"with a length, then a reset":              {answer: head + "Content-Length: 4\r\n\r\ngood", end: reset},
-		"in chunks, then a reset":                  {answer: head + "Transfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\n\r\n", end: reset},
-		"with its connection, request read":        {answer: head + "\r\ngood", end: readOn},
-		"with its connection, request not read":    {answer: head + "\r\ngood", end: closeLater, wantErr: true},
-		"in chunks that break off, then a reset":   {answer: head + "Transfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n", end: reset, wantErr: true},
-		"shorter than its length, then a reset":    {answer: head + "Content-Length: 9\r\n\r\ngood", end: reset, wantErr: true},
-		"HTTP/1.0 with its connection, then reset": {answer: "HTTP/1.0" + head[len("HTTP/1.1"):] + "\r\ngood", end: reset, wantErr: true},
+		"with a length, then a reset": {
+			answer: head + "Content-Length: 4\r\n\r\ngood",
+			end:    reset,
+		},
+		"in chunks, then a reset": {
+			answer: head + "Transfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\n\r\n",
+			end:    reset,
+		},
+		"with its connection, request read": {
+			answer: head + "\r\ngood",
+			end:    readOn,
+		},
+		"with its connection, request not read": {
+			answer:  head + "\r\ngood",
+			end:     closeLater,
+			wantErr: true,
+		},
+		"in chunks that break off, then a reset": {
+			answer:  head + "Transfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n",
+			end:     reset,
+			wantErr: true,
+		},
+		"shorter than its length, then a reset": {
+			answer:  head + "Content-Length: 9\r\n\r\ngood",
+			end:     reset,
+			wantErr: true,
+		},
+		"HTTP/1.0 with its connection, then reset": {
+			answer:  "HTTP/1.0" + head[len("HTTP/1.1"):] + "\r\ngood",
+			end:     reset,
+			wantErr: true,
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			address := newHastyUpstream(t, c.answer, c.end)
--- a/pace/inbound_test.go
+++ b/pace/inbound_test.go
@@ -334,7 +334,9 @@
 // A body on an idle link, or on one whose rate is not known, must not wait.
 func TestIdleLinkGrantsAtOnce(t *testing.T) {
 	for name, s := range map[string]Inbound{
-		"idle":    {Rate: replayRate},
+		"idle": {
+			Rate: replayRate,
+		},
 		"no rate": {},
 	} {
 		s, decisions := s.Announce(now, transfer(1, 300_000))
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -154,18 +154,9 @@
 		Work:         n.expectedStay(offer.Route, now),
 	})
 	defer announced.end()
-	var decision pace.Decision
-	select {
-	case decision = <-announced.decided:
-	default:
-		if err := stream.Send(n.batch([]*wire.Reply{{Kind: &wire.Reply_Noted{Noted: &wire.Noted{}}}})); err != nil {
-			return nil, nil, err
-		}
-		select {
-		case decision = <-announced.decided:
-		case <-stream.Context().Done():
-			return nil, nil, stream.Context().Err()
-		}
+	decision, err := n.awaitDecision(stream, announced)
+	if err != nil {
+		return nil, nil, err
 	}
 	if !decision.Granted {
 		n.meters.countRefusal(cyclam.ReasonOverloaded)
@@ -181,7 +172,7 @@
 		n.meters.countRefusal(cyclam.ReasonOverloaded)
 		return nil, declined(cyclam.ReasonOverloaded, bodyRetryAfter), nil
 	}
-	err := stream.Send(n.batch([]*wire.Reply{{Kind: &wire.Reply_Granted{Granted: &wire.Granted{}}}}))
+	err = stream.Send(n.batch([]*wire.Reply{{Kind: &wire.Reply_Granted{Granted: &wire.Granted{}}}}))
 	if err == nil {
 		err = announced.receive(stream, offer)
 	}
@@ -192,7 +183,27 @@
 	return share, nil, nil
 }
 
-// receive receives the body of an offer, and with the end of it when it was sent.
+// awaitDecision waits until an announced body is granted or refused. If that takes time, its sender
+// is told first that the announcement has arrived.
+func (n *Node) awaitDecision(stream grpc.BidiStreamingServer[wire.Offer, wire.Replies], announced *announcedBody) (pace.Decision, error) {
+	select {
+	case decision := <-announced.decided:
+		return decision, nil
+	default:
+	}
+	if err := stream.Send(n.batch([]*wire.Reply{{Kind: &wire.Reply_Noted{Noted: &wire.Noted{}}}})); err != nil {
+		return pace.Decision{}, err
+	}
+	select {
+	case decision := <-announced.decided:
+		return decision, nil
+	case <-stream.Context().Done():
+		return pace.Decision{}, stream.Context().Err()
+	}
+}
+
+// receive receives the body of an offer. Its last piece tells when it was sent, and how long its
+// sender waits from then on.
 func (a *announcedBody) receive(stream grpc.BidiStreamingServer[wire.Offer, wire.Replies], offer *wire.Offer) error {
 	body := make([]byte, 0, offer.BodyBytes)
 	for {
--- a/proxy/oddhead_test.go
+++ b/proxy/oddhead_test.go
@@ -88,17 +88,76 @@
 		head *wire.Head
 		want cyclam.Outcome
 	}{
-		"an answer":                {head: &wire.Head{Status: 200, Headers: field("X-Odd", "a b")}, want: cyclam.OutcomeDone},
-		"no status":                {head: &wire.Head{}, want: cyclam.OutcomeUnknown},
-		"status of one":            {head: &wire.Head{Status: 1}, want: cyclam.OutcomeUnknown},
-		"interim status":           {head: &wire.Head{Status: 101}, want: cyclam.OutcomeUnknown},
-		"status beyond all":        {head: &wire.Head{Status: 600}, want: cyclam.OutcomeUnknown},
-		"largest status":           {head: &wire.Head{Status: math.MaxUint32}, want: cyclam.OutcomeUnknown},
-		"blank in a name":          {head: &wire.Head{Status: 200, Headers: field("Content-Length ", "4")}, want: cyclam.OutcomeUnknown},
-		"no name":                  {head: &wire.Head{Status: 200, Headers: field("", "4")}, want: cyclam.OutcomeUnknown},
-		"control byte in a name":   {head: &wire.Head{Status: 200, Headers: field("X\x01Odd", "4")}, want: cyclam.OutcomeUnknown},
-		"control byte in a value":  {head: &wire.Head{Status: 200, Headers: field("X-Odd", "a\r\nX-Other: b")}, want: cyclam.OutcomeUnknown},
-		"largest length, no bytes": {head: &wire.Head{Status: 200, Length: math.MaxInt64}, want: cyclam.OutcomeDone},
+		"an answer": {
+			head: &wire.Head{
+				Status:  200,
+				Headers: field("X-Odd", "a b"),
+			},
+			want: cyclam.OutcomeDone,
+		},
+		"no status": {
+			head: &wire.Head{},
+			want: cyclam.OutcomeUnknown,
+		},
+		"status of one": {
+			head: &wire.Head{
+				Status: 1,
+			},
+			want: cyclam.OutcomeUnknown,
+		},
+		"interim status": {
+			head: &wire.Head{
+				Status: 101,
+			},
+			want: cyclam.OutcomeUnknown,
+		},
+		"status beyond all": {
+			head: &wire.Head{
+				Status: 600,
+			},
+			want: cyclam.OutcomeUnknown,
+		},
+		"largest status": {
+			head: &wire.Head{
+				Status: math.MaxUint32,
+			},
+			want: cyclam.OutcomeUnknown,
+		},
+		"blank in a name": {
+			head: &wire.Head{
+				Status:  200,
+				Headers: field("Content-Length ", "4"),
+			},
+			want: cyclam.OutcomeUnknown,
+		},
+		"no name": {
+			head: &wire.Head{
+				Status:  200,
+				Headers: field("", "4"),
+			},
+			want: cyclam.OutcomeUnknown,
+		},
+		"control byte in a name": {
+			head: &wire.Head{
+				Status:  200,
+				Headers: field("X\x01Odd", "4"),
+			},
+			want: cyclam.OutcomeUnknown,
+		},
+		"control byte in a value": {
+			head: &wire.Head{
+				Status:  200,
+				Headers: field("X-Odd", "a\r\nX-Other: b"),
+			},
+			want: cyclam.OutcomeUnknown,
+		},
+		"largest length, no bytes": {
+			head: &wire.Head{
+				Status: 200,
+				Length: math.MaxInt64,
+			},
+			want: cyclam.OutcomeDone,
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newTestCluster(t)
@@ -115,7 +174,11 @@
 				messages: []*wire.Replies{
 					{
 						Replies: []*wire.Reply{
-							{Kind: &wire.Reply_Head{Head: c.head}},
+							{
+								Kind: &wire.Reply_Head{
+									Head: c.head,
+								},
+							},
 							ended(""),
 						},
 					},
