--- a/proxy/beforesend_test.go
+++ b/proxy/beforesend_test.go
@@ -86,6 +86,7 @@
 		if line, want := lines.find("upstream-did-not-run"), "reason="+string(cyclam.ReasonUnconfirmed); !strings.Contains(line, want) {
 			t.Errorf("log: got %q, want a line with %q", line, want)
 		}
+		synctest.Wait()
 		if got := p.door.load(); got.Running != 0 || got.Failing != 0 {
 			t.Errorf("load: got %d running, %v failing, want 0, 0", got.Running, got.Failing)
 		}
