--- a/proxy/node.go
+++ b/proxy/node.go
@@ -211,7 +211,7 @@
 // listener can't be opened or a server fails.
 func (n *Node) Run(ctx context.Context) error {
 	n.prepare()
-	tuneMemory(n.Settings.MemoryLimit)
+	tuneMemory(n.Settings.Cores, n.Settings.MemoryLimit)
 	callers, err := n.Listen(n.Settings.Callers)
 	if err != nil {
 		return cyclam.AtStep("listen for callers", n.Settings.Callers, err)
--- a/proxy/settings.go
+++ b/proxy/settings.go
@@ -47,6 +47,8 @@
 	LinkRate float64
 	// Quota is the tolerance with which the quotas of teams are kept.
 	Quota quota.Tuning
+	// Cores is the processor time that the process may use, in cores; zero means unknown.
+	Cores float64
 	// MemoryLimit is the memory limit of the process, in bytes; zero means none.
 	MemoryLimit int64
 	// Teams bounds for how long a node may rely on what it knows of the teams.
