--- a/stand/abuse/world_test.go
+++ b/stand/abuse/world_test.go
@@ -23,7 +23,9 @@
 )
 
 const (
-	// memoryLimit and fileLimit are what the settings of the processes allow.
+	// cpuShare, memoryLimit and fileLimit are what the settings of the processes name. The
+	// share of a core bounds nothing here; a small one lets the heap grow furthest.
+	cpuShare    = 0.08
 	memoryLimit = 96 << 20
 	fileLimit   = 500
 	// headerLimit and bodyLimit are the limits of the configuration, in bytes.
@@ -142,6 +144,7 @@
 			Service:     "a",
 			IP:          ip,
 			Dir:         dir,
+			CPUShare:    cpuShare,
 			MemoryMB:    int(w.memoryLimit >> 20),
 			Descriptors: w.fileLimit,
 			Drain:       2 * time.Second,
--- a/stand/child/child.go
+++ b/stand/child/child.go
@@ -70,6 +70,8 @@
 	IP      string
 	// Dir is the directory of the settings and the log.
 	Dir string
+	// CPUShare is the part of a core that the settings name; zero names none.
+	CPUShare float64
 	// MemoryMB is the memory limit in units of 2^20 bytes.
 	MemoryMB int
 	// Descriptors is the limit of open files; zero names none.
@@ -90,6 +92,9 @@
 		"memory_mb": m.MemoryMB,
 		"link_mbps": 1000,
 	}
+	if m.CPUShare > 0 {
+		limits["cpu_share"], limits["cores"] = m.CPUShare, 1
+	}
 	if m.Descriptors > 0 {
 		limits["max_fds"] = m.Descriptors
 	}
