--- a/proxy/gc_test.go
+++ b/proxy/gc_test.go
@@ -11,15 +11,50 @@
 		cores float64
 		want  int
 	}{
-		{name: "unknown", want: 40},
-		{name: "no number", cores: math.NaN(), want: 40},
-		{name: "negative", cores: -1, want: 40},
-		{name: "sixteenth", cores: 0.0625, want: 400},
-		{name: "sixth", cores: 0.16, want: 200},
-		{name: "third", cores: 0.32, want: 100},
-		{name: "most of a core", cores: 0.8, want: 40},
-		{name: "eight cores", cores: 8, want: 40},
-		{name: "endless", cores: math.Inf(1), want: 40},
+		{
+			name: "unknown",
+			want: 40,
+		},
+		{
+			name:  "no number",
+			cores: math.NaN(),
+			want:  40,
+		},
+		{
+			name:  "negative",
+			cores: -1,
+			want:  40,
+		},
+		{
+			name:  "sixteenth",
+			cores: 0.0625,
+			want:  400,
+		},
+		{
+			name:  "sixth",
+			cores: 0.16,
+			want:  200,
+		},
+		{
+			name:  "third",
+			cores: 0.32,
+			want:  100,
+		},
+		{
+			name:  "most of a core",
+			cores: 0.8,
+			want:  40,
+		},
+		{
+			name:  "eight cores",
+			cores: 8,
+			want:  40,
+		},
+		{
+			name:  "endless",
+			cores: math.Inf(1),
+			want:  40,
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
