--- a/proxy/gc_test.go
+++ b/proxy/gc_test.go
@@ -65,8 +65,8 @@
 	}
 }
 
-// Collections must leave a node with a small share of a core its processor time: at the same
-// requests they took a third of 0.16 cores.
+// Collections must leave a node with a small share of a core its processor time. This is
+// arithmetic on an assumed load, no replay: nothing is allocated or collected.
 func TestCollectionsOnASmallShare(t *testing.T) {
 	const (
 		live = 10 << 20
