--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -33,6 +33,10 @@
 // readyLimit is how long a deployment may take until all its nodes are ready.
 const readyLimit = 20 * time.Second
 
+// settleTime is how long a deployment runs before a case begins: longer than any stable_window, so
+// that all machines are in touch, and heartbeats and loads have reached all nodes.
+const settleTime = 5 * time.Second
+
 // host is the host of all routes.
 const host = "orders.example"
 
@@ -158,8 +162,7 @@
 		}
 		switch {
 		case waiting == "":
-			// Heartbeats and loads reach all nodes.
-			<-time.After(3 * time.Second)
+			<-time.After(settleTime)
 			return w, nil
 		case time.Now().After(limit):
 			return w, fmt.Errorf("%s is not ready within %v", waiting, readyLimit)
